--- /dev/null
+++ b/internal/base/chart/chart.go
@@ -0,0 +1,99 @@
+// Package chart interprets state charts that are kept as data files.
+package chart
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"github.com/tailscale/hujson"
+)
+
+// State names a state of a chart.
+type State string
+
+// Signal names what makes a chart leave a state.
+type Signal string
+
+// Chart is a checked state chart.
+type Chart struct {
+	// Name identifies the chart in errors; it is never empty.
+	Name string `json:"name"`
+	// Start is a key of States.
+	Start State `json:"start"`
+	// States maps each state to its transitions; every successor is a key.
+	States map[State]map[Signal]State `json:"states"`
+}
+
+// Error reports a signal that a state does not accept.
+type Error struct {
+	// Chart is the name of the chart.
+	Chart string
+	// State is the state that was left unchanged.
+	State State
+	// Signal is the refused signal.
+	Signal Signal
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	return fmt.Sprintf("chart %s: state %s has no transition for %s", e.Chart, e.State, e.Signal)
+}
+
+// Parse reads a chart from JSON with comments and checks that it is closed.
+func Parse(data []byte) (c *Chart, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("parse state chart: %w", err)
+		}
+	}()
+	plain, err := hujson.Standardize(slices.Clone(data))
+	if err != nil {
+		return nil, err
+	}
+	c = &Chart{}
+	if err := json.Unmarshal(plain, c); err != nil {
+		return nil, err
+	}
+	return c, c.check()
+}
+
+// MustParse is Parse for embedded charts; it panics on a bad one.
+func MustParse(data []byte) *Chart {
+	c, err := Parse(data)
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
+func (c *Chart) check() error {
+	if c.Name == "" {
+		return fmt.Errorf("the chart has no name")
+	}
+	if _, ok := c.States[c.Start]; !ok {
+		return fmt.Errorf("chart %s: start state %q is not defined", c.Name, c.Start)
+	}
+	for state, moves := range c.States {
+		for signal, next := range moves {
+			if _, ok := c.States[next]; !ok {
+				return fmt.Errorf("chart %s: state %s on %s leads to undefined state %q", c.Name, state, signal, next)
+			}
+		}
+	}
+	return nil
+}
+
+// Next returns the state that follows s on a signal.
+func (c *Chart) Next(s State, signal Signal) (State, error) {
+	next, ok := c.States[s][signal]
+	if !ok {
+		return s, &Error{Chart: c.Name, State: s, Signal: signal}
+	}
+	return next, nil
+}
+
+// Final reports whether a state has no transitions.
+func (c *Chart) Final(s State) bool {
+	return len(c.States[s]) == 0
+}
--- /dev/null
+++ b/internal/core/entry/entry.go
@@ -0,0 +1,180 @@
+// Package entry is the deterministic core of an entry: events come in with the present time, actions go out.
+package entry
+
+import (
+	_ "embed"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/base/chart"
+	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
+	"github.com/dragonflydeal/dragonflydeal/internal/fleet/membership"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/route"
+)
+
+//go:embed request.chart
+var requestChart []byte
+
+var life = chart.MustParse(requestChart)
+
+// Core decides for one entry. It is not safe for concurrent use.
+type Core struct {
+	// name and centre identify the entry.
+	name, centre string
+	// configuration is nil until the first revision was accepted.
+	configuration *configuration.Configuration
+	// view holds the heartbeats of watched targets.
+	view *membership.View
+	// picker chooses targets.
+	picker *route.Picker
+	// random is the only source of chance.
+	random *rand.Rand
+	// exchanges holds the requests in progress by ID.
+	exchanges map[string]*exchange
+	// flight counts this entry's requests in progress by target.
+	flight map[string]int
+	// stopping is set by the stop event and never cleared.
+	stopping bool
+}
+
+// Options are the inputs of New.
+type Options struct {
+	// Name is the entry's name in the configuration.
+	Name string
+	// Centre is the entry's data centre.
+	Centre string
+	// Random is the source of chance; it must not be shared.
+	Random *rand.Rand
+	// Silence is the age of the newest heartbeat at which a target counts as lost.
+	Silence time.Duration
+}
+
+// New returns a core that knows no configuration yet.
+func New(o Options) *Core {
+	return &Core{
+		name:      o.Name,
+		centre:    o.Centre,
+		view:      membership.NewView(membership.Options{Silence: o.Silence}),
+		picker:    route.NewPicker(route.Options{Random: o.Random}),
+		random:    o.Random,
+		exchanges: map[string]*exchange{},
+		flight:    map[string]int{},
+	}
+}
+
+// Handle takes one event and returns what is to be done, in order.
+func (c *Core) Handle(now time.Time, e Event) []Action {
+	switch {
+	case e.Arrival != nil:
+		return c.arrive(now, e.Arrival)
+	case e.Chunk != nil:
+		return c.receive(now, e.Chunk)
+	case e.Broken != nil:
+		return c.interrupt(now, e.Broken)
+	case e.Gone != nil:
+		return c.abandon(e.Gone)
+	case e.Heartbeat != nil:
+		return c.hear(now, *e.Heartbeat)
+	case e.Configuration != nil:
+		return c.configure(e.Configuration)
+	case e.Stop != nil:
+		c.stopping = true
+		return c.settle()
+	case e.Tick != nil:
+		return c.expire(now)
+	}
+	return nil
+}
+
+// Ready reports whether the entry can serve callers.
+func (c *Core) Ready() bool {
+	return c.configuration != nil && !c.stopping
+}
+
+// Revision returns the configuration revision in force, or zero.
+func (c *Core) Revision() int64 {
+	if c.configuration == nil {
+		return 0
+	}
+	return c.configuration.Revision
+}
+
+// Status is a summary of the core for operators.
+type Status struct {
+	// Name is the entry's name.
+	Name string `json:"name"`
+	// Revision is the configuration revision in force, or zero.
+	Revision int64 `json:"revision"`
+	// Stopping is set when a graceful shutdown has begun.
+	Stopping bool `json:"stopping"`
+	// Requests is the number of requests in progress.
+	Requests int `json:"requests"`
+	// Targets are the configured targets with their states, in the configured order.
+	Targets []TargetStatus `json:"targets"`
+}
+
+// TargetStatus is what an entry knows of a target.
+type TargetStatus struct {
+	// Name is the target's name.
+	Name string `json:"name"`
+	// Centre is the target's data centre.
+	Centre string `json:"centre"`
+	// State is the target's state as of now.
+	State chart.State `json:"state"`
+	// Running and Queued are from the newest heartbeat.
+	Running int `json:"running"`
+	Queued  int `json:"queued"`
+	// Own is the number of this entry's requests at the target.
+	Own int `json:"own"`
+}
+
+// Status returns a summary for operators.
+func (c *Core) Status(now time.Time) Status {
+	s := Status{Name: c.name, Revision: c.Revision(), Stopping: c.stopping, Requests: len(c.exchanges)}
+	if c.configuration == nil {
+		return s
+	}
+	for _, t := range c.configuration.Targets {
+		m, ok := c.view.Member(now, t.Name)
+		if !ok {
+			m.State = membership.StateLost
+		}
+		s.Targets = append(s.Targets, TargetStatus{
+			Name: t.Name, Centre: t.Centre, State: m.State,
+			Running: m.Running, Queued: m.Queued, Own: c.flight[t.Name],
+		})
+	}
+	return s
+}
+
+// configure puts a newer revision in force.
+func (c *Core) configure(next *configuration.Configuration) []Action {
+	if next.Revision <= c.Revision() {
+		return nil
+	}
+	c.configuration = next
+	targets := map[string]netip.AddrPort{}
+	for _, t := range next.Targets {
+		targets[t.Name] = t.Address
+	}
+	c.view.Forget(func(name string) bool {
+		_, ok := targets[name]
+		return ok
+	})
+	return []Action{{Watch: &Watch{Targets: targets}}}
+}
+
+// hear takes in a heartbeat and records changes of a target's state.
+func (c *Core) hear(now time.Time, h membership.Heartbeat) []Action {
+	before, known := c.view.Member(now, h.Target)
+	if !c.view.Accept(now, h) {
+		return nil
+	}
+	if known && before.State == h.State && before.Incarnation == h.Incarnation {
+		return nil
+	}
+	return []Action{{Audit: &Audit{Kind: "target", Attributes: []any{
+		"target", h.Target, "state", h.State, "incarnation", h.Incarnation,
+	}}}}
+}
--- /dev/null
+++ b/internal/core/slot/slot.go
@@ -0,0 +1,240 @@
+// Package slot is the deterministic core of a slot: events come in with the present time, actions go out.
+package slot
+
+import (
+	_ "embed"
+	"math/rand/v2"
+	"time"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/base/chart"
+	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
+	"github.com/dragonflydeal/dragonflydeal/internal/fleet/membership"
+)
+
+//go:embed job.chart
+var jobChart []byte
+
+var life = chart.MustParse(jobChart)
+
+// Core decides for one target. It is not safe for concurrent use.
+type Core struct {
+	// name identifies the target.
+	name string
+	// incarnation is chosen at random and never changes.
+	incarnation uint64
+	// sequence is that of the newest heartbeat.
+	sequence uint64
+	// state is a state of the target chart.
+	state chart.State
+	// configuration is nil until the first revision was accepted.
+	configuration *configuration.Configuration
+	// target is this target's entry in the configuration.
+	target configuration.Target
+	// alive tells whether the engine answered last.
+	alive bool
+	// prefixes are digests of prompt prefixes in the engine's cache.
+	prefixes []uint64
+	// jobs holds the known requests by ID.
+	jobs map[string]*job
+	// queue holds the IDs of jobs that wait for the engine, in order.
+	queue []string
+	// running is the number of jobs at the engine; it is at most the target's width.
+	running int
+	// limits bound what is kept.
+	limits Limits
+	// announced is the time from which the stop was announced to the entries.
+	announced time.Time
+}
+
+// Limits bound what a slot keeps.
+type Limits struct {
+	// Answer is the largest answer in bytes.
+	Answer int
+	// Queue is the largest number of waiting requests for each unit of the target's width.
+	Queue int
+	// Keep is how long a finished answer is kept for its caller.
+	Keep time.Duration
+	// Orphan is how long an idempotent request runs on with no stream attached.
+	Orphan time.Duration
+	// Announce is how long a stopping slot goes on answering, so that entries learn of it.
+	Announce time.Duration
+}
+
+// DefaultLimits are the limits of a slot in operation.
+var DefaultLimits = Limits{
+	Answer:   8 << 20,
+	Queue:    2,
+	Keep:     time.Minute,
+	Orphan:   3 * time.Second,
+	Announce: 2 * time.Second,
+}
+
+// Options are the inputs of New.
+type Options struct {
+	// Name is the target's name in the configuration.
+	Name string
+	// Random is the source of chance; it must not be shared.
+	Random *rand.Rand
+	// Limits bound what is kept.
+	Limits Limits
+}
+
+// New returns a core that knows no configuration yet.
+func New(o Options) *Core {
+	return &Core{
+		name:        o.Name,
+		incarnation: o.Random.Uint64(),
+		state:       membership.Chart.Start,
+		jobs:        map[string]*job{},
+		limits:      o.Limits,
+	}
+}
+
+// Handle takes one event and returns what is to be done, in order.
+func (c *Core) Handle(now time.Time, e Event) []Action {
+	switch {
+	case e.Arrival != nil:
+		return c.arrive(now, e.Arrival)
+	case e.Detach != nil:
+		return c.detach(now, e.Detach)
+	case e.Output != nil:
+		return c.output(e.Output)
+	case e.Result != nil:
+		return c.result(now, e.Result)
+	case e.Report != nil:
+		return c.report(now, e.Report)
+	case e.Configuration != nil:
+		return c.configure(now, e.Configuration)
+	case e.Stop != nil:
+		return c.stop(now)
+	case e.Tick != nil:
+		return c.tick(now)
+	}
+	return nil
+}
+
+// Incarnation returns the random number of this core.
+func (c *Core) Incarnation() uint64 {
+	return c.incarnation
+}
+
+// Ready reports whether the slot takes new work.
+func (c *Core) Ready() bool {
+	return c.state == membership.StateServing
+}
+
+// Revision returns the configuration revision in force, or zero.
+func (c *Core) Revision() int64 {
+	if c.configuration == nil {
+		return 0
+	}
+	return c.configuration.Revision
+}
+
+// Beat returns the next heartbeat.
+func (c *Core) Beat() membership.Heartbeat {
+	c.sequence++
+	return membership.Heartbeat{
+		Target:      c.name,
+		Incarnation: c.incarnation,
+		Sequence:    c.sequence,
+		State:       c.state,
+		Running:     c.running,
+		Queued:      len(c.queue),
+		Width:       c.target.Width,
+		Revision:    c.Revision(),
+		Prefixes:    c.prefixes,
+	}
+}
+
+// Status is a summary of the core for operators.
+type Status struct {
+	// Name is the target's name.
+	Name string `json:"name"`
+	// Incarnation is the random number of the slot process.
+	Incarnation uint64 `json:"incarnation"`
+	// State is the target's state.
+	State chart.State `json:"state"`
+	// Revision is the configuration revision in force, or zero.
+	Revision int64 `json:"revision"`
+	// Running is the number of requests at the engine.
+	Running int `json:"running"`
+	// Queued is the number of requests that wait for the engine.
+	Queued int `json:"queued"`
+	// Known is the number of requests that are kept, finished ones included.
+	Known int `json:"known"`
+}
+
+// Status returns a summary for operators.
+func (c *Core) Status() Status {
+	return Status{
+		Name: c.name, Incarnation: c.incarnation, State: c.state, Revision: c.Revision(),
+		Running: c.running, Queued: len(c.queue), Known: len(c.jobs),
+	}
+}
+
+// signal moves the target along its chart and returns the audit action of a change.
+func (c *Core) signal(s chart.Signal) []Action {
+	next, err := membership.Chart.Next(c.state, s)
+	if err != nil || next == c.state {
+		return nil
+	}
+	c.state = next
+	return []Action{{Audit: &Audit{Kind: "target", Attributes: []any{"target", c.name, "state", next}}}}
+}
+
+// configure puts a newer revision in force.
+func (c *Core) configure(now time.Time, next *configuration.Configuration) []Action {
+	if next.Revision <= c.Revision() {
+		return nil
+	}
+	c.configuration = next
+	if t, ok := next.Target(c.name); ok {
+		c.target = t
+	}
+	return append(c.open(), c.admit(now)...)
+}
+
+// report takes in the engine's load report.
+func (c *Core) report(now time.Time, r *Report) []Action {
+	c.alive = r.Alive
+	c.prefixes = r.Prefixes
+	if !r.Alive && c.state == membership.StateServing {
+		return c.signal("lost")
+	}
+	return append(c.open(), c.admit(now)...)
+}
+
+// open starts service once both the configuration and the engine are there.
+func (c *Core) open() []Action {
+	if c.target.Width == 0 || !c.alive {
+		return nil
+	}
+	return c.signal("ready")
+}
+
+// stop begins a graceful shutdown.
+func (c *Core) stop(now time.Time) []Action {
+	if c.announced.IsZero() {
+		c.announced = now
+	}
+	return append(c.signal("stop"), c.settle(now)...)
+}
+
+// settle lets a leaving slot exit once nothing is in progress and entries know.
+func (c *Core) settle(now time.Time) []Action {
+	if c.state != membership.StateLeaving || c.running > 0 || len(c.queue) > 0 {
+		return nil
+	}
+	if now.Sub(c.announced) < c.limits.Announce {
+		return nil
+	}
+	return append(c.signal("empty"), Action{Exit: &Exit{}})
+}
+
+// tick acts on what has become due.
+func (c *Core) tick(now time.Time) []Action {
+	actions := c.expire(now)
+	actions = append(actions, c.admit(now)...)
+	return append(actions, c.settle(now)...)
+}
--- /dev/null
+++ b/internal/fleet/configuration/configuration.go
@@ -0,0 +1,185 @@
+// Package configuration holds the values that the platform publishes and the rules for accepting them.
+package configuration
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Kind tells what a target runs.
+type Kind string
+
+// The kinds of targets.
+const (
+	// KindEngine is a model engine.
+	KindEngine Kind = "engine"
+	// KindService is a plain request service.
+	KindService Kind = "service"
+)
+
+// Configuration is one revision of the published values.
+type Configuration struct {
+	// Format is "MAJOR.MINOR"; a newer minor may hold keys that are unknown here.
+	Format string `json:"format"`
+	// Revision is above zero and never falls in a process.
+	Revision int64 `json:"revision"`
+	// Author names who published the revision.
+	Author string `json:"author,omitempty"`
+	// Centres are the data centres; their names are unique.
+	Centres []Centre `json:"centres"`
+	// Entries are the entry instances; their names are unique.
+	Entries []Entry `json:"entries"`
+	// Targets are the target instances; their names are unique.
+	Targets []Target `json:"targets"`
+	// Groups are the expert-parallel groups; their names are unique.
+	Groups []Group `json:"groups,omitempty"`
+	// Workspaces are the customers; their names are unique.
+	Workspaces []Workspace `json:"workspaces"`
+	// Routes map request paths to pools of targets; their prefixes are unique.
+	Routes []Route `json:"routes"`
+}
+
+// Centre is a data centre.
+type Centre struct {
+	// Name is not empty.
+	Name string `json:"name"`
+	// Watts is the power cap of the site; zero means no cap.
+	Watts int64 `json:"watts,omitempty"`
+}
+
+// Entry is an entry instance.
+type Entry struct {
+	// Name is not empty.
+	Name string `json:"name"`
+	// Centre is the name of a configured data centre.
+	Centre string `json:"centre"`
+	// Address is where the entry serves its peers.
+	Address netip.AddrPort `json:"address"`
+}
+
+// Target is a target instance: a model engine or a plain service with its slot.
+type Target struct {
+	// Name is not empty.
+	Name string `json:"name"`
+	// Centre is the name of a configured data centre.
+	Centre string `json:"centre"`
+	// Kind is one of the declared kinds.
+	Kind Kind `json:"kind"`
+	// Pool names the targets that can serve the same routes.
+	Pool string `json:"pool"`
+	// Address is where the slot serves the system's processes.
+	Address netip.AddrPort `json:"address"`
+	// Width is the number of requests that the engine runs at once; it is above zero.
+	Width int `json:"width"`
+	// Group is the name of a configured group, or empty.
+	Group string `json:"group,omitempty"`
+	// Rank is the position in the group, counted from zero and unique there.
+	Rank int `json:"rank,omitempty"`
+	// Watts is the share of the site's cap; the shares of a site sum to at most its cap.
+	Watts int64 `json:"watts,omitempty"`
+	// Idle is the draw in watts without any work.
+	Idle int64 `json:"idle,omitempty"`
+	// Draw is the additional draw in watts of each running request.
+	Draw int64 `json:"draw,omitempty"`
+}
+
+// Group is an expert-parallel group whose ranks advance in lock-step.
+type Group struct {
+	// Name is not empty.
+	Name string `json:"name"`
+	// Experts is the number of experts in a layer.
+	Experts int `json:"experts"`
+	// Hold tells whether the engines can stop at a given step.
+	Hold bool `json:"hold,omitempty"`
+	// Price is the step time, in steps, that moving one expert must save to be worth it.
+	Price float64 `json:"price,omitempty"`
+}
+
+// Workspace is a customer with its limits.
+type Workspace struct {
+	// Name is not empty.
+	Name string `json:"name"`
+	// Rate is the number of requests a second; zero means no limit.
+	Rate float64 `json:"rate,omitempty"`
+	// Burst is the number of requests above the rate that may come at once.
+	Burst int `json:"burst,omitempty"`
+	// Weight is the share under contention relative to other workspaces; zero means one.
+	Weight int `json:"weight,omitempty"`
+	// Priority orders workspaces under shortage; higher goes first.
+	Priority int `json:"priority,omitempty"`
+}
+
+// Route maps a request path to a pool of targets.
+type Route struct {
+	// Name is not empty.
+	Name string `json:"name"`
+	// Prefix is the start of the request path; the longest matching prefix wins.
+	Prefix string `json:"prefix"`
+	// Pool is the pool of at least one target.
+	Pool string `json:"pool"`
+	// Once marks calls that must run at most once.
+	Once bool `json:"once,omitempty"`
+	// Stream marks answers that are sent as events.
+	Stream bool `json:"stream,omitempty"`
+	// Timeout is the longest time to the whole answer.
+	Timeout Duration `json:"timeout"`
+}
+
+// Duration is a time.Duration that is written as text such as "1.5s".
+type Duration time.Duration
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	*d = Duration(v)
+	return err
+}
+
+// Target returns the target of a name.
+func (c *Configuration) Target(name string) (Target, bool) {
+	for _, t := range c.Targets {
+		if t.Name == name {
+			return t, true
+		}
+	}
+	return Target{}, false
+}
+
+// Workspace returns the workspace of a name.
+func (c *Configuration) Workspace(name string) (Workspace, bool) {
+	for _, w := range c.Workspaces {
+		if w.Name == name {
+			return w, true
+		}
+	}
+	return Workspace{}, false
+}
+
+// Match returns the route with the longest prefix of a path.
+func (c *Configuration) Match(path string) (route Route, ok bool) {
+	for _, r := range c.Routes {
+		if len(path) < len(r.Prefix) || path[:len(r.Prefix)] != r.Prefix {
+			continue
+		}
+		if !ok || len(r.Prefix) > len(route.Prefix) {
+			route, ok = r, true
+		}
+	}
+	return route, ok
+}
+
+// Pool returns the targets of a pool in the configured order.
+func (c *Configuration) Pool(name string) []Target {
+	var pool []Target
+	for _, t := range c.Targets {
+		if t.Pool == name {
+			pool = append(pool, t)
+		}
+	}
+	return pool
+}
--- /dev/null
+++ b/internal/fleet/membership/membership.go
@@ -0,0 +1,121 @@
+// Package membership keeps what an entry knows of the targets: their slots' first-hand heartbeats.
+package membership
+
+import (
+	_ "embed"
+	"time"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/base/chart"
+)
+
+//go:embed target.chart
+var targetChart []byte
+
+// Chart is the life of a target.
+var Chart = chart.MustParse(targetChart)
+
+// The states of a target.
+const (
+	StateStarting chart.State = "starting"
+	StateServing  chart.State = "serving"
+	StateLeaving  chart.State = "leaving"
+	StateLost     chart.State = "lost"
+	StateGone     chart.State = "gone"
+)
+
+// Heartbeat is a slot's first-hand report of its target.
+type Heartbeat struct {
+	// Target is the name of the target.
+	Target string
+	// Incarnation is chosen at random when the slot process starts.
+	Incarnation uint64
+	// Sequence rises with each heartbeat of an incarnation.
+	Sequence uint64
+	// State is the target's state.
+	State chart.State
+	// Running is the number of requests at the engine.
+	Running int
+	// Queued is the number of admitted requests that wait for the engine.
+	Queued int
+	// Width is the number of requests that the engine may run at once now.
+	Width int
+	// Revision is the configuration revision in force at the slot.
+	Revision int64
+	// Prefixes are digests of prompt prefixes in the engine's cache.
+	Prefixes []uint64
+	// Suspects are fingerprints of requests that may crash an engine.
+	Suspects []uint64
+	// Successor is the target that takes over records when this one leaves.
+	Successor string
+	// Age is the time since the report was made, as known to the receiver.
+	Age time.Duration
+}
+
+// Member is an entry's knowledge of one target.
+type Member struct {
+	// Heartbeat is the newest one that was accepted.
+	Heartbeat
+	// Made is the latest time at which the heartbeat can have been made.
+	Made time.Time
+}
+
+// View is an entry's knowledge of all targets that it watches.
+type View struct {
+	// members holds at most one member for each target name.
+	members map[string]*Member
+	// silence is the age from which a heartbeat proves nothing.
+	silence time.Duration
+}
+
+// Options are the inputs of NewView.
+type Options struct {
+	// Silence is the age of the newest heartbeat at which a target counts as lost.
+	Silence time.Duration
+}
+
+// NewView returns an empty View.
+func NewView(o Options) *View {
+	return &View{members: map[string]*Member{}, silence: o.Silence}
+}
+
+// Accept takes in a heartbeat and reports whether it is news.
+// A repeated or reordered heartbeat of the same incarnation is no news.
+func (v *View) Accept(now time.Time, h Heartbeat) bool {
+	made := now.Add(-h.Age)
+	m := v.members[h.Target]
+	if m == nil {
+		v.members[h.Target] = &Member{Heartbeat: h, Made: made}
+		return true
+	}
+	if m.Incarnation == h.Incarnation && h.Sequence <= m.Sequence {
+		return false
+	}
+	if m.Incarnation != h.Incarnation && made.Before(m.Made) {
+		return false
+	}
+	m.Heartbeat = h
+	m.Made = made
+	return true
+}
+
+// Member returns the knowledge of a target, with its state as of now.
+func (v *View) Member(now time.Time, target string) (Member, bool) {
+	m, ok := v.members[target]
+	if !ok {
+		return Member{}, false
+	}
+	member := *m
+	if member.State != StateGone && now.Sub(member.Made) > v.silence {
+		member.State = StateLost
+	}
+	return member, true
+}
+
+// Forget drops all targets that keep reports false for.
+func (v *View) Forget(keep func(target string) bool) {
+	for name := range v.members {
+		if !keep(name) {
+			delete(v.members, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/operator/commands/commands.go
@@ -0,0 +1,76 @@
+// Package commands holds the command line of dragonflydeal.
+package commands
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+)
+
+// Exit codes of all commands.
+const (
+	// ExitOK means that the command did what it was asked to.
+	ExitOK = 0
+	// ExitFailed means that the command ran and failed.
+	ExitFailed = 1
+	// ExitUsage means that the arguments or an input file were wrong.
+	ExitUsage = 2
+)
+
+// Version is the version of the program.
+const Version = "0.1.0"
+
+// arguments are the commands with their arguments.
+type arguments struct {
+	Entry   *entryCommand   `arg:"subcommand:entry" help:"run an entry between callers and slots"`
+	Slot    *slotCommand    `arg:"subcommand:slot" help:"run the slot of a target"`
+	Version *versionCommand `arg:"subcommand:version" help:"print the version"`
+}
+
+// versionCommand prints the version.
+type versionCommand struct{}
+
+// command is what all commands can do.
+type command interface {
+	run(ctx context.Context, stdout, stderr io.Writer) error
+}
+
+// Execute runs the command line and returns the exit code.
+func Execute(args []string, stdout, stderr io.Writer) int {
+	var a arguments
+	parser, err := arg.NewParser(arg.Config{Program: "dragonflydeal", Out: stdout}, &a)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitUsage
+	}
+	err = parser.Parse(args)
+	switch {
+	case errors.Is(err, arg.ErrHelp):
+		parser.WriteHelp(stdout)
+		return ExitOK
+	case err != nil:
+		parser.WriteUsage(stderr)
+		fmt.Fprintln(stderr, "error:", err)
+		return ExitUsage
+	case parser.Subcommand() == nil:
+		parser.WriteHelp(stderr)
+		return ExitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := parser.Subcommand().(command).run(ctx, stdout, stderr); err != nil {
+		fmt.Fprintln(stderr, "error:", err)
+		return ExitFailed
+	}
+	return ExitOK
+}
+
+func (*versionCommand) run(_ context.Context, stdout, _ io.Writer) error {
+	_, err := fmt.Fprintln(stdout, "dragonflydeal", Version)
+	return err
+}
--- /dev/null
+++ b/internal/operator/commands/processes.go
@@ -0,0 +1,65 @@
+package commands
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/fleet/settings"
+	"github.com/dragonflydeal/dragonflydeal/internal/process/entryd"
+	"github.com/dragonflydeal/dragonflydeal/internal/process/node"
+	"github.com/dragonflydeal/dragonflydeal/internal/process/slotd"
+)
+
+// process holds the arguments of the commands that run a process.
+type process struct {
+	Settings string `arg:"-s,--settings,required" placeholder:"FILE" help:"settings file, JSON with comments"`
+	Verbose  bool   `arg:"-v,--verbose" help:"log debug events too"`
+}
+
+// entryCommand runs an entry.
+type entryCommand struct {
+	process
+}
+
+// slotCommand runs a slot.
+type slotCommand struct {
+	process
+}
+
+func (c *entryCommand) run(ctx context.Context, _, stderr io.Writer) error {
+	options, err := c.options(stderr)
+	if err != nil {
+		return err
+	}
+	return entryd.New(entryd.Options{Options: options, Random: source()}).Run(ctx)
+}
+
+func (c *slotCommand) run(ctx context.Context, _, stderr io.Writer) error {
+	options, err := c.options(stderr)
+	if err != nil {
+		return err
+	}
+	return slotd.New(slotd.Options{Options: options, Random: source()}).Run(ctx)
+}
+
+// options reads the settings and opens the log.
+func (c *process) options(stderr io.Writer) (o node.Options, err error) {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return node.Options{}, err
+	}
+	level := slog.LevelInfo
+	if c.Verbose {
+		level = slog.LevelDebug
+	}
+	log := slog.New(slog.NewTextHandler(stderr, &slog.HandlerOptions{Level: level}))
+	return node.Options{Settings: s, Log: log, Now: time.Now}, nil
+}
+
+// source returns a randomly seeded source of chance.
+func source() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
--- /dev/null
+++ b/internal/process/entryd/entryd.go
@@ -0,0 +1,197 @@
+// Package entryd runs an entry's core as a process between callers and slots.
+package entryd
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/core/entry"
+	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
+	"github.com/dragonflydeal/dragonflydeal/internal/process/node"
+)
+
+const (
+	// tickInterval is the time between two ticks of the core.
+	tickInterval = 20 * time.Millisecond
+	// silentBeats is the number of missed heartbeats after which a target counts as lost.
+	silentBeats = 6
+)
+
+// Process runs one entry.
+type Process struct {
+	*node.Node
+	// exit is closed when the core has nothing in progress after a stop.
+	exit chan struct{}
+	// ctx ends with the process and bounds all attempts.
+	ctx context.Context
+
+	mu sync.Mutex
+	// core is guarded by mu.
+	core *entry.Core
+	// replies holds the open requests by ID; guarded by mu.
+	replies map[string]*reply
+	// attempts holds the cancel functions of the newest attempts by ID; guarded by mu.
+	attempts map[string]attempt
+	// watches holds the cancel functions of heartbeat streams by address; guarded by mu.
+	watches map[netip.AddrPort]context.CancelFunc
+	// exited is set when exit was closed; guarded by mu.
+	exited bool
+}
+
+// attempt is a running attempt.
+type attempt struct {
+	number int
+	cancel context.CancelFunc
+}
+
+// Options are the inputs of New.
+type Options struct {
+	node.Options
+	// Random is the source of chance; it must not be shared.
+	Random *rand.Rand
+}
+
+// New returns a Process that does not run yet.
+func New(o Options) *Process {
+	return &Process{
+		Node: node.New(o.Options),
+		exit: make(chan struct{}),
+		core: entry.New(entry.Options{
+			Name: o.Settings.Name, Centre: o.Settings.Centre, Random: o.Random,
+			Silence: silentBeats * time.Duration(o.Settings.Beat),
+		}),
+		replies:  map[string]*reply{},
+		attempts: map[string]attempt{},
+		watches:  map[netip.AddrPort]context.CancelFunc{},
+	}
+}
+
+// Run serves until the context ends and the requests in progress are done.
+func (p *Process) Run(ctx context.Context) (err error) {
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	p.ctx = work
+	peers, err := p.Listen(p.Settings.Listen)
+	if err != nil {
+		return err
+	}
+	operators, err := p.Listen(p.Settings.Operators)
+	if err != nil {
+		return err
+	}
+	callers, err := p.Listen(p.Settings.Callers)
+	if err != nil {
+		return err
+	}
+	group, work := errgroup.WithContext(work)
+	group.Go(func() error { return p.ServePeers(work, peers) })
+	group.Go(func() error { return p.ServeHTTP(work, operators, p.Operators(p.probes())) })
+	group.Go(func() error { return p.ServeHTTP(work, callers, p.callers()) })
+	group.Go(func() error { p.Follow(work, p.accept); return nil })
+	group.Go(func() error { p.tick(work); return nil })
+	group.Go(func() error {
+		defer cancel()
+		return p.await(ctx, work)
+	})
+	p.Log.Info("start", "role", "entry", "name", p.Settings.Name)
+	return group.Wait()
+}
+
+// await stops the core when asked to and returns when it has finished or the stop limit is over.
+func (p *Process) await(stop, work context.Context) error {
+	select {
+	case <-work.Done():
+		return nil
+	case <-stop.Done():
+	}
+	p.Log.Info("stop", "role", "entry", "name", p.Settings.Name)
+	drain := time.NewTimer(time.Duration(p.Settings.Drain))
+	defer drain.Stop()
+	limit := time.NewTimer(time.Duration(p.Settings.Stop))
+	defer limit.Stop()
+	p.handle(entry.Event{Stop: &entry.Stop{}})
+	select {
+	case <-p.exit:
+	case <-limit.C:
+		p.Log.Warn("stop limit", "name", p.Settings.Name, "cut", p.status().Requests)
+		return nil
+	}
+	// The platform's balancer needs this time to see that the entry is not ready.
+	<-drain.C
+	return nil
+}
+
+func (p *Process) probes() node.Probes {
+	return node.Probes{
+		Ready: func() bool {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return p.core.Ready()
+		},
+		Status: func() any { return p.status() },
+	}
+}
+
+func (p *Process) status() entry.Status {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.core.Status(p.Now())
+}
+
+func (p *Process) accept(c *configuration.Configuration) {
+	p.handle(entry.Event{Configuration: c})
+}
+
+func (p *Process) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.handle(entry.Event{Tick: &entry.Tick{}})
+		}
+	}
+}
+
+// handle passes an event to the core and does what it wants done.
+func (p *Process) handle(e entry.Event) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, a := range p.core.Handle(p.Now(), e) {
+		p.act(a)
+	}
+}
+
+// act does one action; mu is held, so it must not block.
+func (p *Process) act(a entry.Action) {
+	switch {
+	case a.Send != nil:
+		p.start(a.Send)
+	case a.Cancel != nil:
+		if t, ok := p.attempts[a.Cancel.ID]; ok && t.number == a.Cancel.Attempt {
+			t.cancel()
+		}
+	case a.Forward != nil:
+		if r := p.replies[a.Forward.ID]; r != nil {
+			r.push(part{forward: a.Forward})
+		}
+	case a.Finish != nil:
+		if r := p.replies[a.Finish.ID]; r != nil {
+			r.push(part{finish: a.Finish})
+		}
+	case a.Watch != nil:
+		p.watch(a.Watch)
+	case a.Audit != nil:
+		p.Trail.Record(p.Now(), a.Audit.Kind, a.Audit.Attributes...)
+	case a.Exit != nil && !p.exited:
+		p.exited = true
+		close(p.exit)
+	}
+}
--- /dev/null
+++ b/internal/process/entryd/entryd_callers.go
@@ -0,0 +1,156 @@
+package entryd
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-kit/kit/endpoint"
+	httptransport "github.com/go-kit/kit/transport/http"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/core/entry"
+)
+
+// Headers of the callers' interface.
+const (
+	headerWorkspace = "Workspace"
+	headerKey       = "Idempotency-Key"
+	headerResume    = "Last-Event-ID"
+	headerTimeout   = "Request-Timeout"
+)
+
+const idSize = 16
+
+// inputError is a fault of the caller's request.
+type inputError struct {
+	status int
+	reason string
+}
+
+// Error implements the error interface.
+func (e *inputError) Error() string {
+	return e.reason
+}
+
+// callers returns the handler of the callers' address.
+func (p *Process) callers() http.Handler {
+	var serve endpoint.Endpoint = func(ctx context.Context, request any) (any, error) {
+		return p.submit(ctx, request.(*entry.Arrival)), nil
+	}
+	server := httptransport.NewServer(serve, p.decode, p.encode, httptransport.ServerErrorEncoder(encodeError))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, p.Settings.Body)
+		server.ServeHTTP(w, r)
+	})
+}
+
+// decode reads a caller's request.
+func (p *Process) decode(_ context.Context, r *http.Request) (any, error) {
+	a := &entry.Arrival{Workspace: r.Header.Get(headerWorkspace), Path: r.URL.Path, Key: r.Header.Get(headerKey)}
+	if r.Method != http.MethodPost {
+		return nil, &inputError{http.StatusMethodNotAllowed, "use POST"}
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, &inputError{http.StatusRequestEntityTooLarge, "the body is too large or was cut off"}
+	}
+	a.Body = body
+	if text := r.Header.Get(headerTimeout); text != "" {
+		a.Timeout, err = time.ParseDuration(text)
+		if err != nil || a.Timeout <= 0 {
+			return nil, &inputError{http.StatusBadRequest, headerTimeout + " is not a duration above zero such as 1.5s"}
+		}
+	}
+	a.ID = newID()
+	if text := r.Header.Get(headerResume); text != "" {
+		if err := resume(a, text); err != nil {
+			return nil, err
+		}
+	}
+	return a, nil
+}
+
+// newID returns a request ID that nobody can guess.
+func newID() string {
+	b := make([]byte, idSize)
+	_, _ = rand.Read(b)
+	return hex.EncodeToString(b)
+}
+
+// token returns the event ID from which an answer can be resumed.
+func token(answer, home string, offset int64) string {
+	return answer + "/" + home + "/" + strconv.FormatInt(offset, 10)
+}
+
+// resume reads an event ID into an arrival.
+func resume(a *entry.Arrival, text string) error {
+	parts := strings.Split(text, "/")
+	bad := &inputError{http.StatusBadRequest, headerResume + " is not an event ID of this system"}
+	if len(parts) != 3 || len(parts[0]) != hex.EncodedLen(idSize) || parts[1] == "" {
+		return bad
+	}
+	offset, err := strconv.ParseInt(parts[2], 10, 64)
+	if err != nil || offset < 0 {
+		return bad
+	}
+	a.Answer, a.Home, a.Offset = parts[0], parts[1], offset
+	return nil
+}
+
+// submit hands a request to the core and returns its reply.
+func (p *Process) submit(ctx context.Context, a *entry.Arrival) *reply {
+	r := newReply()
+	p.mu.Lock()
+	p.replies[a.ID] = r
+	p.mu.Unlock()
+	r.id = a.ID
+	p.handle(entry.Event{Arrival: a})
+	context.AfterFunc(ctx, func() { p.handle(entry.Event{Gone: &entry.Gone{ID: a.ID}}) })
+	return r
+}
+
+func (p *Process) reply(id string) *reply {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.replies[id]
+}
+
+func (p *Process) forget(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.replies, id)
+}
+
+// encode writes a reply as it comes.
+func (p *Process) encode(ctx context.Context, w http.ResponseWriter, response any) error {
+	r := response.(*reply)
+	defer p.forget(r.id)
+	defer r.close()
+	out := &writer{w: w}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-r.wake:
+		}
+		for _, v := range r.take() {
+			if done := out.write(v); done {
+				return nil
+			}
+		}
+	}
+}
+
+func encodeError(_ context.Context, err error, w http.ResponseWriter) {
+	status := http.StatusBadRequest
+	if input, ok := err.(*inputError); ok {
+		status = input.status
+	}
+	writeProblem(w, problem{Status: status, Outcome: "not-run", Detail: fmt.Sprint(err)})
+}
--- /dev/null
+++ b/internal/process/entryd/entryd_slots.go
@@ -0,0 +1,151 @@
+package entryd
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"time"
+
+	"storj.io/drpc"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/core/entry"
+	"github.com/dragonflydeal/dragonflydeal/internal/wire/message"
+)
+
+// errSilent reports a connection without a sign of life.
+var errSilent = errors.New("the connection is silent")
+
+// start begins an attempt in the background and ends the one before; mu is held.
+func (p *Process) start(s *entry.Send) {
+	if before, ok := p.attempts[s.Request.ID]; ok {
+		before.cancel()
+	}
+	ctx, cancel := context.WithDeadline(p.ctx, s.Deadline)
+	p.attempts[s.Request.ID] = attempt{number: s.Request.Attempt, cancel: cancel}
+	go p.attempt(ctx, cancel, s)
+}
+
+// attempt sends a request to a slot and passes the answer to the core.
+func (p *Process) attempt(ctx context.Context, cancel context.CancelFunc, s *entry.Send) {
+	defer cancel()
+	sent, err := p.exchange(ctx, s)
+	p.mu.Lock()
+	if p.attempts[s.Request.ID].number == s.Request.Attempt {
+		delete(p.attempts, s.Request.ID)
+	}
+	p.mu.Unlock()
+	if err != nil {
+		p.handle(entry.Event{Broken: &entry.Broken{
+			ID: s.Request.ID, Attempt: s.Request.Attempt, Sent: sent, Reason: err.Error(),
+		}})
+	}
+}
+
+// exchange reports whether a byte of the request may have left, and an error unless the answer ended.
+func (p *Process) exchange(ctx context.Context, s *entry.Send) (sent bool, err error) {
+	conn, err := p.Pool.Dial(ctx, s.Address)
+	if err != nil {
+		return false, err
+	}
+	defer conn.Close()
+	if !p.Now().Before(s.Deadline) {
+		return false, context.DeadlineExceeded
+	}
+	request := message.FromRequest(&s.Request)
+	request.Remaining = s.Deadline.Sub(p.Now()).Microseconds()
+	stream, err := message.NewDRPCSlotClient(conn).Serve(ctx, request)
+	if err != nil {
+		return true, err
+	}
+	return true, p.receive(conn, stream, s)
+}
+
+// receive passes chunks to the core until the end of the answer.
+func (p *Process) receive(conn drpc.Conn, stream message.DRPCSlot_ServeClient, s *entry.Send) error {
+	silence := time.AfterFunc(time.Duration(p.Settings.Ping), func() { _ = conn.Close() })
+	defer silence.Stop()
+	for {
+		m, err := stream.Recv()
+		if !silence.Stop() {
+			return errSilent
+		}
+		if err != nil {
+			return err
+		}
+		c := m.Call()
+		if r := p.reply(c.ID); r != nil && !c.Ping() {
+			r.room()
+		}
+		if !c.Ping() {
+			p.handle(entry.Event{Chunk: &entry.Chunk{Chunk: c, Attempt: s.Request.Attempt}})
+		}
+		if c.End {
+			return nil
+		}
+		silence.Reset(time.Duration(p.Settings.Ping))
+	}
+}
+
+// watch replaces the set of heartbeat streams; mu is held.
+func (p *Process) watch(w *entry.Watch) {
+	wanted := map[netip.AddrPort]bool{}
+	for _, address := range w.Targets {
+		wanted[address] = true
+		if p.watches[address] != nil {
+			continue
+		}
+		ctx, cancel := context.WithCancel(p.ctx)
+		p.watches[address] = cancel
+		go p.listen(ctx, address)
+	}
+	for address, cancel := range p.watches {
+		if !wanted[address] {
+			cancel()
+			delete(p.watches, address)
+		}
+	}
+}
+
+// listen keeps a heartbeat stream to a slot open until the context ends.
+func (p *Process) listen(ctx context.Context, address netip.AddrPort) {
+	for ctx.Err() == nil {
+		if err := p.beats(ctx, address); err != nil {
+			p.Log.Debug("heartbeats", "address", address, "error", err)
+		}
+		timer := time.NewTimer(time.Duration(p.Settings.Beat))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+		case <-timer.C:
+		}
+	}
+}
+
+// beats passes heartbeats to the core until the connection ends or goes silent.
+func (p *Process) beats(ctx context.Context, address netip.AddrPort) (err error) {
+	conn, err := p.Pool.Dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	stream, err := message.NewDRPCSlotClient(conn).Watch(ctx, &message.Subscription{Entry: p.Settings.Name})
+	if err != nil {
+		return err
+	}
+	silence := time.AfterFunc(p.patience(), func() { _ = conn.Close() })
+	defer silence.Stop()
+	for {
+		m, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		silence.Reset(p.patience())
+		h := m.Member()
+		p.handle(entry.Event{Heartbeat: &h})
+	}
+}
+
+// patience is the time without a heartbeat after which a stream counts as silent.
+func (p *Process) patience() time.Duration {
+	return max(2*time.Duration(p.Settings.Beat), time.Duration(p.Settings.Ping))
+}
--- /dev/null
+++ b/internal/process/node/node.go
@@ -0,0 +1,97 @@
+// Package node holds what entry and slot processes share: servers, settings, logs and configuration.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/fleet/settings"
+	"github.com/dragonflydeal/dragonflydeal/internal/operator/audit"
+	"github.com/dragonflydeal/dragonflydeal/internal/wire/link"
+)
+
+// Limits of the HTTP servers.
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 60 * time.Second
+	headerSize    = 16 << 10
+)
+
+// Node is embedded by the processes of both roles.
+type Node struct {
+	// Settings are checked and never change.
+	Settings *settings.Settings
+	// Log is never nil.
+	Log *slog.Logger
+	// Trail takes the changes for the audit trail.
+	Trail *audit.Trail
+	// Pool keeps connections to other processes.
+	Pool *link.Pool
+	// Mux serves the system's other processes.
+	Mux *drpcmux.Mux
+	// Now returns the present time.
+	Now func() time.Time
+}
+
+// Options are the inputs of New.
+type Options struct {
+	// Settings are checked.
+	Settings *settings.Settings
+	// Log is where events go.
+	Log *slog.Logger
+	// Now returns the present time.
+	Now func() time.Time
+}
+
+// New returns a Node that serves nothing yet.
+func New(o Options) *Node {
+	return &Node{
+		Settings: o.Settings,
+		Log:      o.Log,
+		Trail:    audit.NewTrail(o.Log),
+		Pool:     link.NewPool(link.Options{Local: o.Settings.Listen.Addr()}),
+		Mux:      drpcmux.New(),
+		Now:      o.Now,
+	}
+}
+
+// Listen opens a TCP listener.
+func (n *Node) Listen(address netip.AddrPort) (l net.Listener, err error) {
+	l, err = net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	return l, nil
+}
+
+// ServePeers serves the system's other processes until the context ends.
+func (n *Node) ServePeers(ctx context.Context, l net.Listener) error {
+	return drpcserver.New(n.Mux).Serve(ctx, l)
+}
+
+// ServeHTTP serves HTTP until the context ends, then closes what is left.
+func (n *Node) ServeHTTP(ctx context.Context, l net.Listener, handler http.Handler) (err error) {
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    headerSize,
+		ErrorLog:          slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
+	}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	err = server.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/process/node/node_operators.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"net/http"
+
+	"github.com/go-kit/kit/endpoint"
+	httptransport "github.com/go-kit/kit/transport/http"
+)
+
+// Probes are what a process tells its operators and the platform's balancer.
+type Probes struct {
+	// Ready reports whether the process serves.
+	Ready func() bool
+	// Status returns a summary that can be written as JSON.
+	Status func() any
+}
+
+// Operators returns the handler of the operators' address.
+func (n *Node) Operators(p Probes) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.Handle("GET /health", reply(func() any { return map[string]bool{"alive": true} }))
+	mux.Handle("GET /status", reply(p.Status))
+	mux.Handle("GET /audit", reply(func() any { return n.Trail.Changes() }))
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !p.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// reply serves the value of a function as JSON.
+func reply(value func() any) http.Handler {
+	var e endpoint.Endpoint = func(context.Context, any) (any, error) {
+		return value(), nil
+	}
+	decode := func(context.Context, *http.Request) (any, error) {
+		return nil, nil
+	}
+	encode := func(_ context.Context, w http.ResponseWriter, v any) error {
+		w.Header().Set("Content-Type", "application/json")
+		encoder := json.NewEncoder(w)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(v)
+	}
+	return httptransport.NewServer(e, decode, encode)
+}
--- /dev/null
+++ b/internal/process/slotd/slotd.go
@@ -0,0 +1,179 @@
+// Package slotd runs a slot's core as a process beside its engine.
+package slotd
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/core/slot"
+	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
+	"github.com/dragonflydeal/dragonflydeal/internal/process/node"
+	"github.com/dragonflydeal/dragonflydeal/internal/wire/message"
+)
+
+// tickInterval is the time between two ticks of the core.
+const tickInterval = 20 * time.Millisecond
+
+// Process runs one slot.
+type Process struct {
+	*node.Node
+	// client reaches the engine.
+	client *http.Client
+	// exit is closed when the core has nothing in progress after a stop.
+	exit chan struct{}
+
+	mu sync.Mutex
+	// core is guarded by mu.
+	core *slot.Core
+	// streams holds the open answer streams by number; guarded by mu.
+	streams map[uint64]*stream
+	// runs holds the cancel functions of running requests; guarded by mu.
+	runs map[string]context.CancelFunc
+	// last is the number of the newest stream; guarded by mu.
+	last uint64
+	// exited is set when exit was closed; guarded by mu.
+	exited bool
+	// ctx ends with the process and bounds all engine calls.
+	ctx context.Context
+}
+
+// Options are the inputs of New.
+type Options struct {
+	node.Options
+	// Random is the source of chance; it must not be shared.
+	Random *rand.Rand
+}
+
+// New returns a Process that does not run yet.
+func New(o Options) *Process {
+	limits := slot.DefaultLimits
+	limits.Announce = time.Duration(o.Settings.Drain)
+	return &Process{
+		Node:    node.New(o.Options),
+		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxEngineConns, IdleConnTimeout: engineIdle}},
+		exit:    make(chan struct{}),
+		core:    slot.New(slot.Options{Name: o.Settings.Name, Random: o.Random, Limits: limits}),
+		streams: map[uint64]*stream{},
+		runs:    map[string]context.CancelFunc{},
+	}
+}
+
+// Run serves until the context ends and the requests in progress are done.
+func (p *Process) Run(ctx context.Context) (err error) {
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	p.ctx = work
+	peers, err := p.Listen(p.Settings.Listen)
+	if err != nil {
+		return err
+	}
+	operators, err := p.Listen(p.Settings.Operators)
+	if err != nil {
+		return err
+	}
+	if err := message.DRPCRegisterSlot(p.Mux, &server{process: p}); err != nil {
+		return err
+	}
+	group, work := errgroup.WithContext(work)
+	group.Go(func() error { return p.ServePeers(work, peers) })
+	group.Go(func() error { return p.ServeHTTP(work, operators, p.Operators(p.probes())) })
+	group.Go(func() error { p.Follow(work, p.accept); return nil })
+	group.Go(func() error { p.tick(work); return nil })
+	group.Go(func() error { p.poll(work); return nil })
+	group.Go(func() error {
+		defer cancel()
+		return p.await(ctx, work)
+	})
+	p.Log.Info("start", "role", "slot", "name", p.Settings.Name, "incarnation", p.core.Incarnation())
+	return group.Wait()
+}
+
+// await stops the core when asked to and returns when it has finished or the stop limit is over.
+func (p *Process) await(stop, work context.Context) error {
+	select {
+	case <-work.Done():
+		return nil
+	case <-stop.Done():
+	}
+	p.Log.Info("stop", "role", "slot", "name", p.Settings.Name)
+	p.handle(slot.Event{Stop: &slot.Stop{}})
+	timer := time.NewTimer(time.Duration(p.Settings.Stop))
+	defer timer.Stop()
+	select {
+	case <-p.exit:
+	case <-timer.C:
+		p.Log.Warn("stop limit", "name", p.Settings.Name, "cut", p.status().Running)
+	}
+	return nil
+}
+
+func (p *Process) probes() node.Probes {
+	return node.Probes{
+		Ready: func() bool {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return p.core.Ready()
+		},
+		Status: func() any { return p.status() },
+	}
+}
+
+func (p *Process) status() slot.Status {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.core.Status()
+}
+
+func (p *Process) accept(c *configuration.Configuration) {
+	p.handle(slot.Event{Configuration: c})
+}
+
+func (p *Process) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.handle(slot.Event{Tick: &slot.Tick{}})
+		}
+	}
+}
+
+// handle passes an event to the core and does what it wants done.
+func (p *Process) handle(e slot.Event) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, a := range p.core.Handle(p.Now(), e) {
+		p.act(a)
+	}
+}
+
+// act does one action; mu is held, so it must not block.
+func (p *Process) act(a slot.Action) {
+	switch {
+	case a.Run != nil:
+		ctx, cancel := context.WithCancel(p.ctx)
+		p.runs[a.Run.ID] = cancel
+		go p.run(ctx, a.Run)
+	case a.Abort != nil:
+		if cancel := p.runs[a.Abort.ID]; cancel != nil {
+			cancel()
+		}
+	case a.Chunk != nil:
+		if s := p.streams[a.Chunk.Stream]; s != nil {
+			s.push(a.Chunk.Chunk)
+		}
+	case a.Audit != nil:
+		p.Trail.Record(p.Now(), a.Audit.Kind, a.Audit.Attributes...)
+	case a.Exit != nil && !p.exited:
+		p.exited = true
+		close(p.exit)
+	}
+}
--- /dev/null
+++ b/internal/process/slotd/slotd_engine.go
@@ -0,0 +1,149 @@
+package slotd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/core/slot"
+	"github.com/dragonflydeal/dragonflydeal/internal/fleet/membership"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
+)
+
+const (
+	maxEngineConns = 64
+	engineIdle     = 2 * time.Second
+	// pollInterval is the time between two reads of the engine's load report.
+	pollInterval = 250 * time.Millisecond
+	// pollTimeout bounds one read of the load report.
+	pollTimeout = time.Second
+	readSize    = 32 << 10
+)
+
+// beat returns the next heartbeat.
+func (p *Process) beat() *membership.Heartbeat {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.core.Beat()
+	return &h
+}
+
+// poll reads the engine's load reports until the context ends.
+func (p *Process) poll(ctx context.Context) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		report := p.read(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		p.handle(slot.Event{Report: report})
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// load is the engine's load report.
+type load struct {
+	// Running is the number of requests in the engine.
+	Running int `json:"running"`
+	// Prefixes are digests of cached prompt prefixes.
+	Prefixes []uint64 `json:"prefixes"`
+}
+
+// read asks the engine once for its load report.
+func (p *Process) read(ctx context.Context) *slot.Report {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, p.url("/load"), nil)
+	if err != nil {
+		return &slot.Report{}
+	}
+	response, err := p.client.Do(request)
+	if err != nil {
+		return &slot.Report{}
+	}
+	defer response.Body.Close()
+	var l load
+	if err := json.NewDecoder(io.LimitReader(response.Body, readSize)).Decode(&l); err != nil {
+		return &slot.Report{}
+	}
+	return &slot.Report{Alive: true, Running: l.Running, Prefixes: l.Prefixes}
+}
+
+func (p *Process) url(path string) string {
+	return fmt.Sprintf("http://%s%s", p.Settings.Engine, path)
+}
+
+// run calls the engine and passes its answer to the core.
+func (p *Process) run(ctx context.Context, r *slot.Run) {
+	result := p.call(ctx, r)
+	p.mu.Lock()
+	cancel := p.runs[r.ID]
+	delete(p.runs, r.ID)
+	p.mu.Unlock()
+	cancel()
+	p.handle(slot.Event{Result: result})
+}
+
+// call makes one call to the engine.
+func (p *Process) call(ctx context.Context, r *slot.Run) *slot.Result {
+	if !p.Now().Before(r.Deadline) {
+		return &slot.Result{ID: r.ID, Outcome: call.OutcomeNotRun, Reason: "the deadline passed"}
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.Deadline.Sub(p.Now()))
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, p.url(r.Request.Path), bytes.NewReader(r.Request.Body))
+	if err != nil {
+		return &slot.Result{ID: r.ID, Outcome: call.OutcomeNotRun, Reason: err.Error()}
+	}
+	// Without GetBody the transport cannot repeat a request on another connection.
+	request.GetBody = nil
+	request.Header.Set("Request-Id", r.Request.ID)
+	request.Header.Set("Workspace", r.Request.Workspace)
+	if r.Request.Key != "" {
+		request.Header.Set("Idempotency-Key", r.Request.Key)
+	}
+	response, err := p.client.Do(request)
+	if err != nil {
+		return &slot.Result{ID: r.ID, Outcome: outcomeOf(err), Reason: err.Error()}
+	}
+	defer response.Body.Close()
+	return p.copy(r, response)
+}
+
+// outcomeOf tells whether a failed call can have run: not if no connection was made.
+func outcomeOf(err error) call.Outcome {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return call.OutcomeNotRun
+	}
+	return call.OutcomeFailed
+}
+
+// copy passes the answer's bytes to the core as they come.
+func (p *Process) copy(r *slot.Run, response *http.Response) *slot.Result {
+	media := response.Header.Get("Content-Type")
+	for {
+		data := make([]byte, readSize)
+		n, err := response.Body.Read(data)
+		if n > 0 {
+			p.handle(slot.Event{Output: &slot.Output{ID: r.ID, Data: data[:n], Status: response.StatusCode, Media: media}})
+		}
+		if errors.Is(err, io.EOF) {
+			return &slot.Result{ID: r.ID, Outcome: call.OutcomeComplete, Status: response.StatusCode, Media: media}
+		}
+		if err != nil {
+			return &slot.Result{ID: r.ID, Outcome: call.OutcomeFailed, Status: response.StatusCode, Media: media, Reason: err.Error()}
+		}
+	}
+}
--- /dev/null
+++ b/internal/request/answer/answer.go
@@ -0,0 +1,72 @@
+// Package answer keeps the bytes of an answer and hands each of them out once and in order.
+package answer
+
+import "github.com/dragonflydeal/dragonflydeal/internal/request/call"
+
+// Assembler accepts chunks of one answer in any order of arrival and releases the bytes in order.
+type Assembler struct {
+	// id is the only request whose chunks are accepted.
+	id string
+	// next is the offset of the first byte that was not released yet.
+	next int64
+}
+
+// NewAssembler returns an Assembler for a request that continues at an offset.
+func NewAssembler(id string, offset int64) *Assembler {
+	return &Assembler{id: id, next: offset}
+}
+
+// Offset returns the number of bytes that were released.
+func (a *Assembler) Offset() int64 {
+	return a.next
+}
+
+// Accept returns the bytes of a chunk that were not released before.
+// It reports false for a chunk of another request and for one that leaves a gap.
+func (a *Assembler) Accept(c *call.Chunk) (data []byte, ok bool) {
+	if c.ID != a.id || c.Offset > a.next {
+		return nil, false
+	}
+	skip := a.next - c.Offset
+	if skip >= int64(len(c.Data)) {
+		return nil, true
+	}
+	data = c.Data[skip:]
+	a.next += int64(len(data))
+	return data, true
+}
+
+// Buffer keeps the bytes of one answer up to a limit.
+type Buffer struct {
+	// data holds every byte from the start of the answer.
+	data []byte
+	// limit is the largest length of data in bytes.
+	limit int
+}
+
+// NewBuffer returns an empty Buffer for at most limit bytes.
+func NewBuffer(limit int) *Buffer {
+	return &Buffer{limit: limit}
+}
+
+// Append adds bytes at the end. It reports false, and adds nothing, when they do not fit.
+func (b *Buffer) Append(data []byte) bool {
+	if len(b.data)+len(data) > b.limit {
+		return false
+	}
+	b.data = append(b.data, data...)
+	return true
+}
+
+// From returns the bytes from an offset on. The caller must not change them.
+func (b *Buffer) From(offset int64) []byte {
+	if offset < 0 || offset >= int64(len(b.data)) {
+		return nil
+	}
+	return b.data[offset:len(b.data):len(b.data)]
+}
+
+// Size returns the number of bytes held.
+func (b *Buffer) Size() int64 {
+	return int64(len(b.data))
+}
--- /dev/null
+++ b/internal/request/key/key.go
@@ -0,0 +1,84 @@
+// Package key mints and reads idempotency keys. A key names its home: the slot process that alone may run it.
+package key
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Prefix starts every key of this system.
+const Prefix = "dd1."
+
+const (
+	fixedSize    = 8 + 8 + 8 + 8
+	checksumSize = 8
+	maxHomeSize  = 128
+)
+
+// ErrFormat reports text that is not a key of this system.
+var ErrFormat = errors.New("not a key of this system")
+
+// Key identifies one non-idempotent call.
+type Key struct {
+	// Home is the name of the target whose slot alone may run the call.
+	Home string
+	// Incarnation is that of the home's slot process; another one never runs the call.
+	Incarnation uint64
+	// Minted is the wall time of minting, in whole milliseconds.
+	Minted time.Time
+	// Random makes the key unique.
+	Random uint64
+	// Workspace is a hash of the only workspace that may use the key.
+	Workspace uint64
+}
+
+// WorkspaceHash returns the value for Key.Workspace.
+func WorkspaceHash(name string) uint64 {
+	return xxhash.Sum64String(name)
+}
+
+// String returns the key as callers send it.
+func (k Key) String() string {
+	b := make([]byte, 0, fixedSize+len(k.Home)+checksumSize)
+	b = binary.BigEndian.AppendUint64(b, k.Incarnation)
+	b = binary.BigEndian.AppendUint64(b, uint64(k.Minted.UnixMilli()))
+	b = binary.BigEndian.AppendUint64(b, k.Random)
+	b = binary.BigEndian.AppendUint64(b, k.Workspace)
+	b = append(b, k.Home...)
+	b = binary.BigEndian.AppendUint64(b, xxhash.Sum64(b))
+	return Prefix + base64.RawURLEncoding.EncodeToString(b)
+}
+
+// Parse reads a key. The checksum finds typing errors; it is no proof of origin.
+func Parse(text string) (k Key, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("parse idempotency key: %w", err)
+		}
+	}()
+	coded, ok := strings.CutPrefix(text, Prefix)
+	if !ok || len(coded) > base64.RawURLEncoding.EncodedLen(fixedSize+maxHomeSize+checksumSize) {
+		return Key{}, ErrFormat
+	}
+	b, err := base64.RawURLEncoding.Strict().DecodeString(coded)
+	if err != nil || len(b) <= fixedSize+checksumSize {
+		return Key{}, ErrFormat
+	}
+	body, sum := b[:len(b)-checksumSize], b[len(b)-checksumSize:]
+	if binary.BigEndian.Uint64(sum) != xxhash.Sum64(body) {
+		return Key{}, ErrFormat
+	}
+	return Key{
+		Incarnation: binary.BigEndian.Uint64(body),
+		Minted:      time.UnixMilli(int64(binary.BigEndian.Uint64(body[8:]))),
+		Random:      binary.BigEndian.Uint64(body[16:]),
+		Workspace:   binary.BigEndian.Uint64(body[24:]),
+		Home:        string(body[fixedSize:]),
+	}, nil
+}
--- /dev/null
+++ b/internal/trial/engine/engine.go
@@ -0,0 +1,188 @@
+// Package engine is a stand-in for a model engine.
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Engine streams made-up tokens and reports its load late. It is safe for concurrent use.
+type Engine struct {
+	options Options
+
+	mu sync.Mutex
+	// running is the number of requests in progress.
+	running int
+	// runs counts the started runs by request ID.
+	runs map[string]int
+	// reports holds the load over the last lag.
+	reports []report
+	// down makes every call fail by a closed connection.
+	down bool
+	// poison is a body whose run closes all connections; empty for none.
+	poison string
+	// crashes counts the runs of the poison.
+	crashes int
+}
+
+type report struct {
+	at      time.Time
+	running int
+}
+
+// Options are the inputs of New.
+type Options struct {
+	// Step is the time of one step, in which each running request gets one token.
+	Step time.Duration
+	// Lag is the age of the load report.
+	Lag time.Duration
+	// Poison is a body that crashes the engine; empty for none.
+	Poison string
+}
+
+// New returns an idle Engine.
+func New(o Options) *Engine {
+	return &Engine{options: o, runs: map[string]int{}, poison: o.Poison}
+}
+
+// request is the body of a generation call.
+type request struct {
+	// Prompt is the text to go on from.
+	Prompt string `json:"prompt"`
+	// Tokens is the number of tokens to generate.
+	Tokens int `json:"tokens"`
+}
+
+// Expected returns the whole answer to a prompt.
+func Expected(prompt string, tokens int) string {
+	var b strings.Builder
+	for i := range tokens {
+		b.WriteString(token(prompt, i))
+	}
+	return b.String()
+}
+
+func token(prompt string, i int) string {
+	return fmt.Sprintf("%s·%d\n", prompt, i)
+}
+
+// Handler returns the engine's HTTP interface.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /load", e.load)
+	mux.HandleFunc("POST /", e.generate)
+	return mux
+}
+
+// Runs returns how often a request was started.
+func (e *Engine) Runs(id string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs[id]
+}
+
+// Total returns the number of started runs.
+func (e *Engine) Total() (n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, v := range e.runs {
+		n += v
+	}
+	return n
+}
+
+// SetDown makes every call fail, or lets calls succeed again.
+func (e *Engine) SetDown(down bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.down = down
+}
+
+// Crashes returns how often the poison ran.
+func (e *Engine) Crashes() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashes
+}
+
+func (e *Engine) begin(id, body string) (ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		return false
+	}
+	e.runs[id]++
+	if e.poison != "" && body == e.poison {
+		e.crashes++
+		e.down = true
+		return false
+	}
+	e.running++
+	return true
+}
+
+func (e *Engine) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running--
+}
+
+func (e *Engine) failed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.down
+}
+
+// generate streams one token a step.
+func (e *Engine) generate(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	if !e.begin(r.Header.Get("Request-Id"), string(body)) {
+		panic(http.ErrAbortHandler)
+	}
+	defer e.end()
+	var q request
+	if err := json.Unmarshal(body, &q); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	ticker := time.NewTicker(e.options.Step)
+	defer ticker.Stop()
+	for i := range q.Tokens {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-ticker.C:
+		}
+		if e.failed() {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, token(q.Prompt, i))
+		w.(http.Flusher).Flush()
+	}
+}
+
+// load reports the number of running requests as it was one lag ago.
+func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		panic(http.ErrAbortHandler)
+	}
+	e.reports = append(e.reports, report{at: now, running: e.running})
+	for len(e.reports) > 1 && now.Sub(e.reports[1].at) >= e.options.Lag {
+		e.reports = e.reports[1:]
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = io.WriteString(w, `{"running":`+strconv.Itoa(e.reports[0].running)+`}`)
+}
--- /dev/null
+++ b/internal/trial/service/service.go
@@ -0,0 +1,82 @@
+// Package service is a stand-in for a plain request service with non-idempotent calls.
+package service
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Service counts the executions of each key. It is safe for concurrent use.
+type Service struct {
+	options Options
+
+	mu sync.Mutex
+	// runs counts the started executions by idempotency key.
+	runs map[string]int
+}
+
+// Options are the inputs of New.
+type Options struct {
+	// Delay is the time of one call.
+	Delay time.Duration
+}
+
+// New returns a Service.
+func New(o Options) *Service {
+	return &Service{options: o, runs: map[string]int{}}
+}
+
+// Handler returns the service's HTTP interface.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"running":0}`)
+	})
+	mux.HandleFunc("POST /", s.serve)
+	return mux
+}
+
+// serve runs one call; an execution counts even when its answer is lost.
+func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	key := r.Header.Get("Idempotency-Key")
+	s.mu.Lock()
+	s.runs[key]++
+	n := s.runs[key]
+	s.mu.Unlock()
+	timer := time.NewTimer(s.options.Delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.Context().Done():
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	fmt.Fprintf(w, "done %d: %s", n, body)
+}
+
+// Runs returns how often a key was executed.
+func (s *Service) Runs(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[key]
+}
+
+// Most returns the largest number of executions of one key and the number of keys.
+func (s *Service) Most() (most, keys int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, n := range s.runs {
+		if key == "" {
+			continue
+		}
+		keys++
+		most = max(most, n)
+	}
+	return most, keys
+}
--- /dev/null
+++ b/internal/wire/link/link.go
@@ -0,0 +1,96 @@
+// Package link opens and keeps the drpc connections between the system's processes.
+package link
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcpool"
+)
+
+const (
+	dialTimeout = time.Second
+	// idleTimeout closes a connection before anything between the ends is likely to forget it.
+	idleTimeout = 2 * time.Second
+	// idleConns bounds the idle connections to one address.
+	idleConns = 8
+)
+
+// ErrDial reports that no connection could be opened, so that nothing was sent.
+type ErrDial struct {
+	// Address is the peer that was dialled.
+	Address netip.AddrPort
+	// Cause is the error of the network.
+	Cause error
+}
+
+// Error implements the error interface.
+func (e *ErrDial) Error() string {
+	return fmt.Sprintf("dial %s: %v", e.Address, e.Cause)
+}
+
+// Unwrap returns the error of the network.
+func (e *ErrDial) Unwrap() error {
+	return e.Cause
+}
+
+// Pool keeps idle connections by address. It is safe for concurrent use.
+type Pool struct {
+	pool *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
+	// local is the source address of all connections.
+	local netip.Addr
+}
+
+// Options are the inputs of NewPool.
+type Options struct {
+	// Local is the source address of all connections.
+	Local netip.Addr
+}
+
+// NewPool returns an empty Pool.
+func NewPool(o Options) *Pool {
+	pool := drpcpool.New[netip.AddrPort, drpcpool.Conn](drpcpool.Options{
+		Expiration:  idleTimeout,
+		KeyCapacity: idleConns,
+	})
+	return &Pool{pool: pool, local: o.Local}
+}
+
+// Conn returns a connection that dials when first used, unless an idle one is there.
+func (p *Pool) Conn(ctx context.Context, address netip.AddrPort) drpc.Conn {
+	return p.pool.Get(ctx, address, p.Dial)
+}
+
+// Close closes all idle connections.
+func (p *Pool) Close() error {
+	return p.pool.Close()
+}
+
+// dialer returns a dialer that sends from the instance's own address.
+func (p *Pool) dialer() *net.Dialer {
+	return &net.Dialer{Timeout: dialTimeout, LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(p.local, 0))}
+}
+
+// Transport returns an HTTP transport that sends from the instance's own address.
+func (p *Pool) Transport() *http.Transport {
+	return &http.Transport{
+		DialContext:         p.dialer().DialContext,
+		MaxIdleConnsPerHost: idleConns,
+		IdleConnTimeout:     idleTimeout,
+	}
+}
+
+// Dial opens a new connection.
+func (p *Pool) Dial(ctx context.Context, address netip.AddrPort) (conn drpcpool.Conn, err error) {
+	c, err := p.dialer().DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, &ErrDial{Address: address, Cause: err}
+	}
+	return drpcconn.New(c), nil
+}
--- /dev/null
+++ b/internal/wire/message/convert.go
@@ -0,0 +1,62 @@
+package message
+
+import (
+	"time"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/base/chart"
+	"github.com/dragonflydeal/dragonflydeal/internal/fleet/membership"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
+)
+
+// FromRequest returns the wire form of a request.
+func FromRequest(r *call.Request) *Request {
+	return &Request{
+		Id: r.ID, Answer: r.Answer, Workspace: r.Workspace, Route: r.Route, Path: r.Path, Key: r.Key, Offset: r.Offset,
+		Remaining: r.Remaining.Microseconds(), Body: r.Body, Attempt: uint32(r.Attempt),
+		Fingerprint: r.Fingerprint, Lookup: r.Lookup,
+	}
+}
+
+// Call returns the request of its wire form.
+func (r *Request) Call() call.Request {
+	return call.Request{
+		ID: r.Id, Answer: r.Answer, Workspace: r.Workspace, Route: r.Route, Path: r.Path, Key: r.Key, Offset: r.Offset,
+		Remaining: time.Duration(r.Remaining) * time.Microsecond, Body: r.Body, Attempt: int(r.Attempt),
+		Fingerprint: r.Fingerprint, Lookup: r.Lookup,
+	}
+}
+
+// FromChunk returns the wire form of a chunk.
+func FromChunk(c *call.Chunk) *Chunk {
+	return &Chunk{
+		Id: c.ID, Offset: c.Offset, Data: c.Data, End: c.End, Outcome: uint32(c.Outcome), Reason: c.Reason,
+		Retry: c.Retry.Microseconds(), Status: uint32(c.Status), Media: c.Media,
+	}
+}
+
+// Call returns the chunk of its wire form.
+func (c *Chunk) Call() call.Chunk {
+	return call.Chunk{
+		ID: c.Id, Offset: c.Offset, Data: c.Data, End: c.End, Outcome: call.Outcome(c.Outcome), Reason: c.Reason,
+		Retry: time.Duration(c.Retry) * time.Microsecond, Status: int(c.Status), Media: c.Media,
+	}
+}
+
+// FromHeartbeat returns the wire form of a heartbeat.
+func FromHeartbeat(h *membership.Heartbeat) *Heartbeat {
+	return &Heartbeat{
+		Target: h.Target, Incarnation: h.Incarnation, Sequence: h.Sequence, State: string(h.State),
+		Running: uint32(h.Running), Queued: uint32(h.Queued), Width: uint32(h.Width), Revision: h.Revision,
+		Prefixes: h.Prefixes, Suspects: h.Suspects, Successor: h.Successor, Age: h.Age.Microseconds(),
+	}
+}
+
+// Member returns the heartbeat of its wire form.
+func (h *Heartbeat) Member() membership.Heartbeat {
+	return membership.Heartbeat{
+		Target: h.Target, Incarnation: h.Incarnation, Sequence: h.Sequence, State: chart.State(h.State),
+		Running: int(h.Running), Queued: int(h.Queued), Width: int(h.Width), Revision: h.Revision,
+		Prefixes: h.Prefixes, Suspects: h.Suspects, Successor: h.Successor,
+		Age: time.Duration(h.Age) * time.Microsecond,
+	}
+}
--- /dev/null
+++ b/internal/wire/message/doc.go
@@ -0,0 +1,5 @@
+// Package message holds the messages between the system's own processes.
+// The Go code is generated from the proto files in this folder.
+package message
+
+//go:generate protoc --go_out=. --go_opt=paths=source_relative --go-drpc_out=. --go-drpc_opt=paths=source_relative message.proto record.proto switch.proto loan.proto revision.proto
