--- a/internal/core/slot/event.go
+++ b/internal/core/slot/event.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
+	"github.com/dragonflydeal/dragonflydeal/internal/group/mapswitch"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
+	"github.com/dragonflydeal/dragonflydeal/internal/site/power"
 )
 
 // Event is something that happened; exactly one field is set.
@@ -85,12 +87,16 @@
 	Alive bool
 }
 
-// Message is from another slot.
+// Message is from another slot; exactly one of its pointers is set.
 type Message struct {
 	// Source is the name of the sending slot's target.
 	Source string
 	// Incarnation is that of the sending slot.
 	Incarnation uint64
+	// Switch is a message of the expert map switch, or nil.
+	Switch *mapswitch.Message
+	// Loan is a message of power lending, or nil.
+	Loan *power.Message
 	// Handover is set when the sender leaves and this target is its successor.
 	Handover *Handover
 }
--- a/internal/core/slot/slot_job.go
+++ b/internal/core/slot/slot_job.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/base/chart"
-	"github.com/dragonflydeal/dragonflydeal/internal/fleet/membership"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/answer"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/key"
@@ -69,14 +68,8 @@
 	if a.Lookup {
 		return refuse(a, call.OutcomeUnknown, http.StatusGone, "the answer is not kept here", 0)
 	}
-	if c.state != membership.StateServing {
-		return refuse(a, call.OutcomeNotRun, 0, "the target takes no new work", defaultRetry)
-	}
-	if a.Remaining <= 0 {
-		return refuse(a, call.OutcomeNotRun, http.StatusGatewayTimeout, "the deadline passed", 0)
-	}
-	if len(c.queue) >= c.limits.Queue*c.target.Width {
-		return refuse(a, call.OutcomeNotRun, 0, "the target's queue is full", defaultRetry)
+	if refusal := c.checkAdmission(a); refusal != nil {
+		return refusal
 	}
 	j := &job{
 		state: life.Start, request: a.Request, viewers: []*viewer{{stream: a.Stream, id: a.ID, sent: a.Offset}},
@@ -157,24 +150,6 @@
 	return nil
 }
 
-// admit starts waiting requests while the engine has room.
-func (c *Core) admit(now time.Time) []Action {
-	var actions []Action
-	for len(c.queue) > 0 && c.running < c.target.Width && c.alive {
-		id := c.queue[0]
-		c.queue = c.queue[1:]
-		j := c.jobs[id]
-		if !now.Before(j.deadline) {
-			actions = append(actions, c.end(now, j, "refuse", call.OutcomeNotRun, "the deadline passed in the queue")...)
-			continue
-		}
-		c.running++
-		j.move("run")
-		actions = append(actions, Action{Run: &Run{ID: id, Request: j.request, Deadline: j.deadline}})
-	}
-	return actions
-}
-
 // move takes the job along its chart.
 func (j *job) move(s chart.Signal) {
 	if next, err := life.Next(j.state, s); err == nil {
--- a/internal/process/entryd/entryd_callers.go
+++ b/internal/process/entryd/entryd_callers.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -149,7 +150,8 @@
 
 func encodeError(_ context.Context, err error, w http.ResponseWriter) {
 	status := http.StatusBadRequest
-	if input, ok := err.(*inputError); ok {
+	var input *inputError
+	if errors.As(err, &input) {
 		status = input.status
 	}
 	writeProblem(w, problem{Status: status, Outcome: "not-run", Detail: fmt.Sprint(err)})
--- a/internal/process/slotd/slotd.go
+++ b/internal/process/slotd/slotd.go
@@ -170,6 +170,8 @@
 		if s := p.streams[a.Chunk.Stream]; s != nil {
 			s.push(a.Chunk.Chunk)
 		}
+	case a.Deliver != nil:
+		p.deliver(a.Deliver)
 	case a.Audit != nil:
 		p.Trail.Record(p.Now(), a.Audit.Kind, a.Audit.Attributes...)
 	case a.Exit != nil && !p.exited:
--- /dev/null
+++ b/internal/process/slotd/slotd_peers.go
@@ -0,0 +1,76 @@
+package slotd
+
+import (
+	"context"
+	"time"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/core/slot"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
+	"github.com/dragonflydeal/dragonflydeal/internal/wire/message"
+)
+
+// Deliver takes one message from another slot.
+func (s *server) Deliver(_ context.Context, e *message.Envelope) (*message.Receipt, error) {
+	if e.Target != s.process.Settings.Name {
+		return &message.Receipt{}, nil
+	}
+	m := &slot.Message{Source: e.Source, Incarnation: e.Incarnation}
+	switch body := e.Body.(type) {
+	case *message.Envelope_Switch:
+		m.Switch = body.Switch.Mapswitch()
+	case *message.Envelope_Loan:
+		m.Loan = body.Loan.Power()
+	case *message.Envelope_Handover:
+		m.Handover = handoverOf(body.Handover)
+	}
+	s.process.handle(slot.Event{Message: m})
+	return &message.Receipt{Accepted: true}, nil
+}
+
+// deliver sends one message to another slot in the background; a lost one is not repeated here.
+func (p *Process) deliver(d *slot.Deliver) {
+	e := &message.Envelope{Source: p.Settings.Name, Incarnation: p.core.Incarnation(), Target: d.Target}
+	switch {
+	case d.Message.Switch != nil:
+		e.Body = &message.Envelope_Switch{Switch: message.FromSwitch(d.Message.Switch)}
+	case d.Message.Loan != nil:
+		e.Body = &message.Envelope_Loan{Loan: message.FromLoan(d.Message.Loan)}
+	case d.Message.Handover != nil:
+		e.Body = &message.Envelope_Handover{Handover: fromHandover(d.Message.Handover)}
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(p.ctx, time.Duration(p.Settings.Ping))
+		defer cancel()
+		conn := p.Pool.Conn(ctx, d.Address)
+		defer func() { _ = conn.Close() }()
+		if _, err := message.NewDRPCSlotClient(conn).Deliver(ctx, e); err != nil {
+			p.Log.Debug("deliver", "target", d.Target, "error", err)
+		}
+	}()
+}
+
+func handoverOf(h *message.Handover) *slot.Handover {
+	out := &slot.Handover{Incarnation: h.Incarnation}
+	for _, r := range h.Records {
+		out.Records = append(out.Records, slot.Record{
+			Key: r.Key, Outcome: call.Outcome(r.Outcome), Status: int(r.Status), Media: r.Media, Answer: r.Answer,
+		})
+	}
+	for _, s := range h.Sessions {
+		out.Sessions = append(out.Sessions, slot.Session{Name: s.Name, Cache: s.Cache})
+	}
+	return out
+}
+
+func fromHandover(h *slot.Handover) *message.Handover {
+	out := &message.Handover{Incarnation: h.Incarnation}
+	for _, r := range h.Records {
+		out.Records = append(out.Records, &message.Record{
+			Key: r.Key, Outcome: uint32(r.Outcome), Status: uint32(r.Status), Media: r.Media, Answer: r.Answer,
+		})
+	}
+	for _, s := range h.Sessions {
+		out.Sessions = append(out.Sessions, &message.Session{Name: s.Name, Cache: s.Cache})
+	}
+	return out
+}
--- a/internal/proof/failure/site_test.go
+++ b/internal/proof/failure/site_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -25,6 +26,9 @@
 // childVariable makes the test binary behave as the dragonflydeal binary.
 const childVariable = "DRAGONFLYDEAL_CHILD"
 
+// siteCount counts the sites of this test run.
+var siteCount atomic.Int32
+
 // readyTimeout bounds the wait for a condition that must come true.
 const readyTimeout = 20 * time.Second
 
@@ -69,6 +73,8 @@
 	services map[string]*service.Service
 	dir      string
 	hosts    byte
+	// number tells the sites of one test run apart.
+	number int32
 	address  netip.AddrPort
 }
 
@@ -105,7 +111,7 @@
 		o.step = 2 * time.Millisecond
 	}
 	s := &site{
-		t: t, options: o, platform: platform.New(), network: newNetwork(), dir: t.TempDir(),
+		t: t, options: o, platform: platform.New(), network: newNetwork(), dir: t.TempDir(), number: siteCount.Add(1),
 		processes: map[string]*process{}, engines: map[string]*engine.Engine{}, services: map[string]*service.Service{},
 		config: &configuration.Configuration{
 			Format: "1.0", Revision: 1, Author: "test",
@@ -114,8 +120,8 @@
 	}
 	server := httptest.NewServer(s.platform.Handler())
 	t.Cleanup(server.Close)
-	real := netip.MustParseAddrPort(server.Listener.Addr().String())
-	s.address = s.network.open(t, s.host(0), real)
+	address := netip.MustParseAddrPort(server.Listener.Addr().String())
+	s.address = s.network.open(t, s.host(0), address)
 	for centre := 1; centre <= o.centres; centre++ {
 		s.addCentre(byte(centre))
 	}
@@ -141,7 +147,7 @@
 // host returns an address that no other process of the machine's tests uses.
 func (s *site) host(centre byte) netip.Addr {
 	s.hosts++
-	return netip.AddrFrom4([4]byte{127, byte(20 + os.Getpid()%200), centre, s.hosts})
+	return netip.AddrFrom4([4]byte{127, byte(20 + (os.Getpid()+7*int(s.number))%200), centre, s.hosts})
 }
 
 func (s *site) addCentre(centre byte) {
