--- a/internal/proof/failure/site_test.go
+++ b/internal/proof/failure/site_test.go
@@ -74,8 +74,8 @@
 	dir      string
 	hosts    byte
 	// number tells the sites of one test run apart.
-	number int32
-	address  netip.AddrPort
+	number  int32
+	address netip.AddrPort
 }
 
 // process is one child process.
