Check settings and configuration strictly, every fault at once with its place

Cause: a faulty file gave its first fault only, as the JSON decoder's text, with no place and no fix; unknown keys of a newer format stopped a process. Ruled out: a schema library (no places in JSON with comments); struct tags for the descriptions (one line per field grew unreadable). Change: package document walks the parsed file beside the Go type. Configuration format MAJOR.MINOR: another major is refused, a newer minor's unknown keys are warnings and not in force.

--- a/internal/fleet/configuration/configuration.go
+++ b/internal/fleet/configuration/configuration.go
@@ -4,6 +4,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/base/document"
 )
 
 // Kind tells what a target runs.
@@ -37,6 +39,9 @@
 	Workspaces []Workspace `json:"workspaces"`
 	// Routes map request paths to pools of targets; their prefixes are unique.
 	Routes []Route `json:"routes"`
+
+	// warnings are the unknown keys of a newer minor format.
+	warnings document.Faults
 }
 
 // Centre is a data centre.
--- a/internal/fleet/configuration/configuration_check.go
+++ b/internal/fleet/configuration/configuration_check.go
@@ -1,60 +1,188 @@
 package configuration
 
-import "fmt"
+import (
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/base/document"
+)
+
+// check collects the faults of a configuration.
+type check struct {
+	document.Faults
+	configuration *Configuration
+	centres       map[string]bool
+	groups        map[string]bool
+	pools         map[string]bool
+	// addresses maps each used address to the path that has it.
+	addresses map[netip.AddrPort]string
+}
 
 // Check returns every fault of a configuration with its place.
-func (c *Configuration) Check() (faults []error) {
-	add := func(format string, args ...any) {
-		faults = append(faults, fmt.Errorf(format, args...))
+func (c *Configuration) Check() document.Faults {
+	k := &check{
+		configuration: c, centres: map[string]bool{}, groups: map[string]bool{}, pools: map[string]bool{},
+		addresses: map[netip.AddrPort]string{},
 	}
 	if c.Revision <= 0 {
-		add("revision: %d is not above zero", c.Revision)
+		k.Add("revision", "number revisions from 1", "%d is not above zero", c.Revision)
 	}
-	centres := map[string]bool{}
-	for i, v := range c.Centres {
-		if v.Name == "" || centres[v.Name] {
-			add("centres[%d].name: %q is empty or used twice", i, v.Name)
-		}
-		centres[v.Name] = true
+	k.checkCentres()
+	k.checkEntries()
+	k.checkGroups()
+	k.checkTargets()
+	k.checkRanks()
+	k.checkPower()
+	k.checkWorkspaces()
+	k.checkRoutes()
+	return k.Faults
+}
+
+// unique notes a name and adds a fault if it is empty or used before.
+func (k *check) unique(names map[string]bool, path, name string) {
+	switch {
+	case name == "":
+		k.Add(path, "write a name", "the name is empty")
+	case names[name]:
+		k.Add(path, "choose another name", "%q is used twice", name)
+	}
+	names[name] = true
+}
+
+// known adds a fault for a name that is not in a set, with the likely one.
+func (k *check) known(names map[string]bool, path, name, kind string) {
+	if names[name] {
+		return
+	}
+	fix := "add it, or write the name of " + kind
+	if likely := document.Likely(name, slices.Sorted(maps.Keys(names))); likely != "" {
+		fix = fmt.Sprintf("did you mean %q?", likely)
+	}
+	k.Add(path, fix, "%q is not the name of %s", name, kind)
+}
+
+// address adds a fault for an address that is missing or used twice.
+func (k *check) address(path string, a netip.AddrPort) {
+	if !a.IsValid() || a.Port() == 0 {
+		k.Add(path, `write for example "10.1.0.21:7400"`, "an IP address with a port is missing")
+		return
+	}
+	if before, ok := k.addresses[a]; ok {
+		k.Add(path, "give each instance its own address", "%s is the address of %s too", a, before)
+	}
+	k.addresses[a] = path
+}
+
+func (k *check) checkCentres() {
+	for i, v := range k.configuration.Centres {
+		k.unique(k.centres, fmt.Sprintf("centres[%d].name", i), v.Name)
+	}
+}
+
+func (k *check) checkEntries() {
+	names := map[string]bool{}
+	for i, v := range k.configuration.Entries {
+		path := fmt.Sprintf("entries[%d]", i)
+		k.unique(names, path+".name", v.Name)
+		k.known(k.centres, path+".centre", v.Centre, "a data centre")
+		k.address(path+".address", v.Address)
+	}
+}
+
+func (k *check) checkGroups() {
+	for i, v := range k.configuration.Groups {
+		k.unique(k.groups, fmt.Sprintf("groups[%d].name", i), v.Name)
 	}
-	entries := map[string]bool{}
-	for i, v := range c.Entries {
-		if v.Name == "" || entries[v.Name] {
-			add("entries[%d].name: %q is empty or used twice", i, v.Name)
+}
+
+func (k *check) checkTargets() {
+	names := map[string]bool{}
+	for i, v := range k.configuration.Targets {
+		path := fmt.Sprintf("targets[%d]", i)
+		k.unique(names, path+".name", v.Name)
+		k.known(k.centres, path+".centre", v.Centre, "a data centre")
+		if v.Kind != KindEngine && v.Kind != KindService {
+			k.Add(path+".kind", fmt.Sprintf("write %q or %q", KindEngine, KindService), "%q is not a kind of target", v.Kind)
+		}
+		if v.Width <= 0 {
+			k.Add(path+".width", "write the number of requests that it runs at once", "%d is not above zero", v.Width)
 		}
-		entries[v.Name] = true
-		if !centres[v.Centre] {
-			add("entries[%d].centre: %q is not a data centre", i, v.Centre)
+		if v.Group != "" {
+			k.known(k.groups, path+".group", v.Group, "a group")
 		}
+		k.address(path+".address", v.Address)
+		k.pools[v.Pool] = true
 	}
-	targets := map[string]bool{}
-	pools := map[string]bool{}
-	for i, v := range c.Targets {
-		if v.Name == "" || targets[v.Name] {
-			add("targets[%d].name: %q is empty or used twice", i, v.Name)
+}
+
+// checkRanks checks that no two targets of a group have the same rank.
+func (k *check) checkRanks() {
+	type seat struct {
+		group string
+		rank  int
+	}
+	taken := map[seat]string{}
+	for i, v := range k.configuration.Targets {
+		s := seat{v.Group, v.Rank}
+		if v.Group == "" {
+			continue
 		}
-		targets[v.Name] = true
-		pools[v.Pool] = true
-		if !centres[v.Centre] {
-			add("targets[%d].centre: %q is not a data centre", i, v.Centre)
+		if before := taken[s]; before != "" {
+			k.Add(fmt.Sprintf("targets[%d].rank", i), "number the ranks of a group from 0", "rank %d of group %q is that of %s too", v.Rank, v.Group, before)
 		}
-		if v.Kind != KindEngine && v.Kind != KindService {
-			add("targets[%d].kind: %q is neither %q nor %q", i, v.Kind, KindEngine, KindService)
+		taken[s] = v.Name
+	}
+}
+
+// checkPower checks that shares fit into the caps of their sites and hold the idle draw.
+func (k *check) checkPower() {
+	sums := map[string]int64{}
+	for i, v := range k.configuration.Targets {
+		sums[v.Centre] += v.Watts
+		path := fmt.Sprintf("targets[%d]", i)
+		if v.Watts < 0 || v.Idle < 0 || v.Draw < 0 {
+			k.Add(path+".watts", "write 0 or more", "a power is below zero")
 		}
-		if v.Width <= 0 {
-			add("targets[%d].width: %d is not above zero", i, v.Width)
+		if v.Watts > 0 && v.Idle > v.Watts {
+			k.Add(path+".idle", "raise the share or lower the idle draw", "the idle draw of %d W is above the share of %d W", v.Idle, v.Watts)
 		}
-		if !v.Address.IsValid() {
-			add("targets[%d].address: an IP address with a port is missing", i)
+	}
+	for i, v := range k.configuration.Centres {
+		if v.Watts > 0 && sums[v.Name] > v.Watts {
+			k.Add(fmt.Sprintf("centres[%d].watts", i), "lower the targets' shares", "the targets' shares sum to %d W, the cap is %d W", sums[v.Name], v.Watts)
 		}
 	}
-	for i, v := range c.Routes {
-		if !pools[v.Pool] {
-			add("routes[%d].pool: no target is in pool %q", i, v.Pool)
+}
+
+func (k *check) checkWorkspaces() {
+	names := map[string]bool{}
+	for i, v := range k.configuration.Workspaces {
+		path := fmt.Sprintf("workspaces[%d]", i)
+		k.unique(names, path+".name", v.Name)
+		if v.Rate < 0 || v.Burst < 0 || v.Weight < 0 {
+			k.Add(path, "write 0 or more", "a limit is below zero")
+		}
+	}
+}
+
+func (k *check) checkRoutes() {
+	names, prefixes := map[string]bool{}, map[string]bool{}
+	for i, v := range k.configuration.Routes {
+		path := fmt.Sprintf("routes[%d]", i)
+		k.unique(names, path+".name", v.Name)
+		if !strings.HasPrefix(v.Prefix, "/") {
+			k.Add(path+".prefix", `write for example "/v1/desk"`, "%q does not start with a slash", v.Prefix)
+		}
+		if prefixes[v.Prefix] {
+			k.Add(path+".prefix", "give each route its own prefix", "%q is used twice", v.Prefix)
 		}
+		prefixes[v.Prefix] = true
+		k.known(k.pools, path+".pool", v.Pool, "a pool with a target")
 		if v.Timeout <= 0 {
-			add("routes[%d].timeout: a time above zero is missing", i)
+			k.Add(path+".timeout", `write for example "30s"`, "a time above zero is missing")
 		}
 	}
-	return faults
 }
--- a/internal/fleet/configuration/configuration_parse.go
+++ b/internal/fleet/configuration/configuration_parse.go
@@ -1,38 +1,76 @@
 package configuration
 
 import (
-	"bytes"
 	"encoding/json"
-	"errors"
-	"fmt"
+	"strconv"
+	"strings"
 
-	"github.com/tailscale/hujson"
+	"github.com/dragonflydeal/dragonflydeal/internal/base/document"
 )
 
 // MaxSize is the largest accepted value in bytes.
 const MaxSize = 1 << 20
 
+// The version of the format that this program knows.
+const (
+	formatMajor = 1
+	formatMinor = 0
+)
+
 // Parse reads a configuration from JSON with comments and checks it.
+// The error holds every fault; unknown keys of a newer minor format are in Warnings.
 func Parse(data []byte) (c *Configuration, err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("configuration: %w", err)
-		}
-	}()
-	if len(data) > MaxSize {
-		return nil, fmt.Errorf("the value has %d bytes, the limit is %d", len(data), MaxSize)
+	c, faults := Read("configuration", data)
+	return c, faults.Err()
+}
+
+// Read is Parse for a named file; it returns every fault with its place.
+func Read(file string, data []byte) (c *Configuration, faults document.Faults) {
+	c = &Configuration{}
+	d := document.Decode(document.Options{File: file, Keys: Keys, Size: MaxSize}, data, c)
+	faults = d.Faults
+	newer, problem := compareFormat(c.Format)
+	switch {
+	case problem != "" && !faults.Has("format"):
+		var other document.Faults
+		other.Add("format", "publish the configuration in format "+formatText(), "%s", problem)
+		// Another major format has other keys, so that further faults would mislead.
+		return c, d.Locate(data, other)
+	case newer:
+		c.warnings = d.Unknown
+	default:
+		faults = append(faults, d.Unknown...)
 	}
-	plain, err := hujson.Standardize(bytes.Clone(data))
-	if err != nil {
-		return nil, err
+	var more document.Faults
+	for _, f := range c.Check() {
+		if !faults.Has(f.Path) {
+			more = append(more, f)
+		}
 	}
-	c = &Configuration{}
-	decoder := json.NewDecoder(bytes.NewReader(plain))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(c); err != nil {
-		return nil, err
+	return c, append(faults, d.Locate(data, more)...).Sorted()
+}
+
+// Warnings are the keys that a newer minor format has and this program does not know; they are not in force.
+func (c *Configuration) Warnings() document.Faults {
+	return c.warnings
+}
+
+// compareFormat reports whether a format is a newer minor one, or why it can't be read.
+func compareFormat(format string) (newer bool, problem string) {
+	major, minor, ok := strings.Cut(format, ".")
+	m, err := strconv.ParseUint(major, 10, 16)
+	n, failed := strconv.ParseUint(minor, 10, 16)
+	switch {
+	case !ok || err != nil || failed != nil:
+		return false, strconv.Quote(format) + " is not a version such as \"1.0\""
+	case m != formatMajor:
+		return false, "format " + format + " is not readable here"
 	}
-	return c, errors.Join(c.Check()...)
+	return n > formatMinor, ""
+}
+
+func formatText() string {
+	return strconv.Quote(strconv.Itoa(formatMajor) + "." + strconv.Itoa(formatMinor))
 }
 
 // Encode returns the published form.
--- a/internal/fleet/settings/settings.go
+++ b/internal/fleet/settings/settings.go
@@ -2,29 +2,18 @@
 package settings
 
 import (
-	"bytes"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"net/netip"
 	"os"
-	"time"
-
-	"github.com/tailscale/hujson"
 
+	"github.com/dragonflydeal/dragonflydeal/internal/base/document"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
 )
 
-// Default values of optional settings.
-const (
-	defaultBeat  = configuration.Duration(250 * time.Millisecond)
-	defaultStop  = configuration.Duration(60 * time.Second)
-	defaultPing  = configuration.Duration(500 * time.Millisecond)
-	defaultBody  = 1 << 20
-	defaultDrain = configuration.Duration(2 * time.Second)
-)
+// MaxSize is the largest settings file in bytes.
+const MaxSize = 1 << 20
 
-// Settings is the content of a settings file.
+// Settings is the content of a settings file. Each key has a description in Keys.
 type Settings struct {
 	// Name is the name of the instance in the configuration.
 	Name string `json:"name"`
@@ -54,65 +43,96 @@
 	Body int64 `json:"body,omitempty"`
 }
 
-// Load reads a settings file.
-func Load(path string) (s *Settings, err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("settings %s: %w", path, err)
-		}
-	}()
+// Role is what a process does.
+type Role string
+
+// The roles of processes.
+const (
+	// RoleEntry is an entry between callers and slots.
+	RoleEntry Role = "entry"
+	// RoleSlot is the slot of a target.
+	RoleSlot Role = "slot"
+)
+
+// Load reads the settings file of a process; its error holds every fault.
+func Load(path string, role Role) (s *Settings, err error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	s, faults := Read(path, data)
+	if len(faults) == 0 {
+		faults = s.CheckRole(role)
+		for _, f := range faults {
+			f.File = path
+		}
 	}
-	return Parse(data)
+	return s, faults.Err()
 }
 
 // Parse reads settings from JSON with comments, fills in defaults and checks them.
 func Parse(data []byte) (s *Settings, err error) {
-	plain, err := hujson.Standardize(bytes.Clone(data))
-	if err != nil {
-		return nil, err
-	}
+	s, faults := Read("", data)
+	return s, faults.Err()
+}
+
+// Read is Parse for a named file; it returns every fault with its place.
+func Read(file string, data []byte) (s *Settings, faults document.Faults) {
 	s = &Settings{}
-	decoder := json.NewDecoder(bytes.NewReader(plain))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(s); err != nil {
-		return nil, err
-	}
+	d := document.Decode(document.Options{File: file, Keys: Keys, Size: MaxSize}, data, s)
 	s.Default()
-	return s, errors.Join(s.Check()...)
+	faults = append(d.Faults, d.Unknown...)
+	var more document.Faults
+	for _, f := range s.Check() {
+		if !faults.Has(f.Path) {
+			more = append(more, f)
+		}
+	}
+	return s, append(faults, d.Locate(data, more)...).Sorted()
 }
 
 // Default fills in optional settings that are not set.
 func (s *Settings) Default() {
-	set(&s.Beat, defaultBeat)
-	set(&s.Ping, defaultPing)
-	set(&s.Drain, defaultDrain)
-	set(&s.Stop, defaultStop)
-	set(&s.Body, defaultBody)
-}
-
-func set[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	document.Default(Keys, s)
 }
 
 // Check returns every fault of the settings.
-func (s *Settings) Check() (faults []error) {
+func (s *Settings) Check() (faults document.Faults) {
 	if s.Name == "" {
-		faults = append(faults, errors.New("name: the name of this instance is missing"))
+		faults.Add("name", "", "the name of this instance is missing")
 	}
 	if s.Centre == "" {
-		faults = append(faults, errors.New("centre: the name of the data centre is missing"))
+		faults.Add("centre", "", "the name of the data centre is missing")
 	}
-	if !s.Listen.IsValid() {
-		faults = append(faults, errors.New("listen: an IP address with a port is missing"))
+	used := map[netip.AddrPort]string{}
+	s.address(&faults, used, "platform", s.Platform, true)
+	s.address(&faults, used, "listen", s.Listen, true)
+	s.address(&faults, used, "operators", s.Operators, false)
+	s.address(&faults, used, "callers", s.Callers, false)
+	s.address(&faults, used, "engine", s.Engine, false)
+	return faults
+}
+
+// address checks that an address is there if it must be, and that no other key has it.
+func (s *Settings) address(faults *document.Faults, used map[netip.AddrPort]string, path string, a netip.AddrPort, required bool) {
+	switch before := used[a]; {
+	case !a.IsValid() && required:
+		faults.Add(path, "", "an IP address with a port is missing")
+	case a.IsValid() && a.Port() == 0:
+		faults.Add(path, "write the port after the address", "the port is zero")
+	case a.IsValid() && before != "":
+		faults.Add(path, "give each its own port", "%s is the address of %s too", a, before)
+	}
+	used[a] = path
+}
+
+// CheckRole returns what a role lacks.
+func (s *Settings) CheckRole(role Role) (faults document.Faults) {
+	if role == RoleEntry && !s.Callers.IsValid() {
+		faults.Add("callers", `add "callers": "10.1.0.11:8080"`, "an entry needs an address for callers")
 	}
-	if !s.Platform.IsValid() {
-		faults = append(faults, errors.New("platform: an IP address with a port is missing"))
+	if role == RoleSlot && !s.Engine.IsValid() {
+		faults.Add("engine", `add "engine": "10.1.0.21:9000"`, "a slot needs the address of its engine or service")
 	}
 	return faults
 }
--- a/internal/operator/commands/commands.go
+++ b/internal/operator/commands/commands.go
@@ -10,6 +10,8 @@
 	"syscall"
 
 	"github.com/alexflint/go-arg"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/base/document"
 )
 
 // Exit codes of all commands.
@@ -18,7 +20,7 @@
 	ExitOK = 0
 	// ExitFailed means that the command ran and failed.
 	ExitFailed = 1
-	// ExitUsage means that the arguments or an input file were wrong.
+	// ExitUsage means that the arguments or an input file were wrong; nothing was done.
 	ExitUsage = 2
 )
 
@@ -29,6 +31,7 @@
 type arguments struct {
 	Entry   *entryCommand   `arg:"subcommand:entry" help:"run an entry between callers and slots"`
 	Slot    *slotCommand    `arg:"subcommand:slot" help:"run the slot of a target"`
+	Check   *checkCommand   `arg:"subcommand:check" help:"check settings and configuration files"`
 	Version *versionCommand `arg:"subcommand:version" help:"print the version"`
 }
 
@@ -63,11 +66,21 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	if err := parser.Subcommand().(command).run(ctx, stdout, stderr); err != nil {
-		fmt.Fprintln(stderr, "error:", err)
-		return ExitFailed
+	return report(parser.Subcommand().(command).run(ctx, stdout, stderr), stderr)
+}
+
+// report prints an error and returns its exit code.
+func report(err error, stderr io.Writer) int {
+	var faults document.Faults
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &faults):
+		fmt.Fprintln(stderr, faults)
+		return ExitUsage
 	}
-	return ExitOK
+	fmt.Fprintln(stderr, "error:", err)
+	return ExitFailed
 }
 
 func (*versionCommand) run(_ context.Context, stdout, _ io.Writer) error {
--- a/internal/operator/commands/processes.go
+++ b/internal/operator/commands/processes.go
@@ -30,7 +30,7 @@
 }
 
 func (c *entryCommand) run(ctx context.Context, _, stderr io.Writer) error {
-	options, err := c.options(stderr)
+	options, err := c.options(stderr, settings.RoleEntry)
 	if err != nil {
 		return err
 	}
@@ -38,7 +38,7 @@
 }
 
 func (c *slotCommand) run(ctx context.Context, _, stderr io.Writer) error {
-	options, err := c.options(stderr)
+	options, err := c.options(stderr, settings.RoleSlot)
 	if err != nil {
 		return err
 	}
@@ -46,8 +46,8 @@
 }
 
 // options reads the settings and opens the log.
-func (c *process) options(stderr io.Writer) (o node.Options, err error) {
-	s, err := settings.Load(c.Settings)
+func (c *process) options(stderr io.Writer, role settings.Role) (o node.Options, err error) {
+	s, err := settings.Load(c.Settings, role)
 	if err != nil {
 		return node.Options{}, err
 	}
