Run a site on loopback with load and faults, and say what held

Cause: a newcomer had no way to see the system work, and no run tried several faults under a caller's load in one go. Change: 'trial' runs nine entries, nine slots and stand-ins as goroutines; callers read streams, look up and confirm with resends; a target drains, a configuration changes, a data centre is cut off, an entry is replaced. A seam for dialling in node and link.

--- a/internal/operator/commands/commands.go
+++ b/internal/operator/commands/commands.go
@@ -31,6 +31,7 @@
 type arguments struct {
 	Entry   *entryCommand   `arg:"subcommand:entry" help:"run an entry between callers and slots"`
 	Slot    *slotCommand    `arg:"subcommand:slot" help:"run the slot of a target"`
+	Trial   *trialCommand   `arg:"subcommand:trial" help:"run a small site on loopback with load and faults, and say what held"`
 	Check   *checkCommand   `arg:"subcommand:check" help:"check settings and configuration files"`
 	Version *versionCommand `arg:"subcommand:version" help:"print the version"`
 }
--- a/internal/process/entryd/entryd.go
+++ b/internal/process/entryd/entryd.go
@@ -98,7 +98,7 @@
 		defer cancel()
 		return p.await(ctx, work)
 	})
-	p.Log.Info("start", "role", "entry", "name", p.Settings.Name)
+	p.Log.Info("start", "role", "entry")
 	return group.Wait()
 }
 
@@ -109,7 +109,7 @@
 		return nil
 	case <-stop.Done():
 	}
-	p.Log.Info("stop", "role", "entry", "name", p.Settings.Name)
+	p.Log.Info("stop", "role", "entry")
 	drain := time.NewTimer(time.Duration(p.Settings.Drain))
 	defer drain.Stop()
 	limit := time.NewTimer(time.Duration(p.Settings.Stop))
@@ -118,7 +118,7 @@
 	select {
 	case <-p.exit:
 	case <-limit.C:
-		p.Log.Warn("stop limit", "name", p.Settings.Name, "cut", p.status().Requests)
+		p.Log.Warn("stop limit", "cut", p.status().Requests)
 		return nil
 	}
 	// The platform's balancer needs this time to see that the entry is not ready.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -50,15 +50,18 @@
 	Log *slog.Logger
 	// Now returns the present time.
 	Now func() time.Time
+	// Dial opens a TCP connection to another instance; nil means the network's own way.
+	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 }
 
 // New returns a Node that serves nothing yet.
 func New(o Options) *Node {
+	log := o.Log.With("instance", o.Settings.Name)
 	return &Node{
 		Settings: o.Settings,
-		Log:      o.Log,
-		Trail:    audit.NewTrail(o.Log),
-		Pool:     link.NewPool(link.Options{Local: o.Settings.Listen.Addr()}),
+		Log:      log,
+		Trail:    audit.NewTrail(log),
+		Pool:     link.NewPool(link.Options{Local: o.Settings.Listen.Addr(), Dial: o.Dial}),
 		Mux:      drpcmux.New(),
 		Now:      o.Now,
 	}
--- a/internal/process/slotd/slotd.go
+++ b/internal/process/slotd/slotd.go
@@ -89,7 +89,7 @@
 		defer cancel()
 		return p.await(ctx, work)
 	})
-	p.Log.Info("start", "role", "slot", "name", p.Settings.Name, "incarnation", p.core.Incarnation())
+	p.Log.Info("start", "role", "slot", "incarnation", p.core.Incarnation())
 	return group.Wait()
 }
 
@@ -100,14 +100,14 @@
 		return nil
 	case <-stop.Done():
 	}
-	p.Log.Info("stop", "role", "slot", "name", p.Settings.Name)
+	p.Log.Info("stop", "role", "slot")
 	p.handle(slot.Event{Stop: &slot.Stop{}})
 	timer := time.NewTimer(time.Duration(p.Settings.Stop))
 	defer timer.Stop()
 	select {
 	case <-p.exit:
 	case <-timer.C:
-		p.Log.Warn("stop limit", "name", p.Settings.Name, "cut", p.status().Running)
+		p.Log.Warn("stop limit", "cut", p.status().Running)
 	}
 	return nil
 }
--- a/internal/trial/service/service.go
+++ b/internal/trial/service/service.go
@@ -45,11 +45,7 @@
 	if err != nil {
 		return
 	}
-	key := r.Header.Get("Idempotency-Key")
-	s.mu.Lock()
-	s.runs[key]++
-	n := s.runs[key]
-	s.mu.Unlock()
+	n := s.Execute(r.Header.Get("Idempotency-Key"))
 	timer := time.NewTimer(s.options.Delay)
 	defer timer.Stop()
 	select {
@@ -60,6 +56,14 @@
 	fmt.Fprintf(w, "done %d: %s", n, body)
 }
 
+// Execute counts one execution of a key and returns the number so far.
+func (s *Service) Execute(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs[key]++
+	return s.runs[key]
+}
+
 // Runs returns how often a key was executed.
 func (s *Service) Runs(key string) int {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/trial/site/report.go
@@ -0,0 +1,92 @@
+package site
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Report is the result of a trial.
+type Report struct {
+	// Seed is that of the run.
+	Seed uint64 `json:"seed"`
+	// Took is the length of the run.
+	Took string `json:"took"`
+	// Promises are what must always hold.
+	Promises []Promise `json:"promises"`
+	// Measures are the figures of the run.
+	Measures []Measure `json:"measures"`
+	// Details are the first reasons of broken promises.
+	Details []string `json:"details,omitempty"`
+}
+
+// Promise is one line of what must always hold.
+type Promise struct {
+	// Name says what must hold.
+	Name string `json:"name"`
+	// Checked is the number of cases that were looked at; with none the promise counts as broken.
+	Checked int `json:"checked"`
+	// Broken is the number of cases in which it did not hold.
+	Broken int `json:"broken"`
+}
+
+// Held reports whether the promise held in at least one case and in all.
+func (p *Promise) Held() bool {
+	return p.Checked > 0 && p.Broken == 0
+}
+
+// Measure is one figure.
+type Measure struct {
+	// Name says what was measured.
+	Name string `json:"name"`
+	// Value is the figure in Unit.
+	Value float64 `json:"value"`
+	// Unit is the unit of Value.
+	Unit string `json:"unit"`
+}
+
+// Held reports whether every promise held.
+func (r *Report) Held() bool {
+	for i := range r.Promises {
+		if !r.Promises[i].Held() {
+			return false
+		}
+	}
+	return true
+}
+
+// Write prints the report as tables.
+func (r *Report) Write(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "\nWHAT MUST ALWAYS HOLD\tRESULT\tCHECKED\tBROKEN")
+	for i := range r.Promises {
+		p := &r.Promises[i]
+		result := "held"
+		if !p.Held() {
+			result = "BROKEN"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\n", p.Name, result, p.Checked, p.Broken)
+	}
+	fmt.Fprintln(w, "\nMEASURE\tVALUE\tUNIT\t")
+	for _, m := range r.Measures {
+		fmt.Fprintf(w, "%s\t%.4g\t%s\t\n", m.Name, m.Value, m.Unit)
+	}
+	for _, d := range r.Details {
+		fmt.Fprintf(w, "detail: %s\n", d)
+	}
+	return w.Flush()
+}
+
+// quantiles returns the median and the 95th percentile of a histogram of microseconds.
+func quantiles(name string, h *hdrhistogram.Histogram) []Measure {
+	milliseconds := func(q float64) float64 {
+		return float64(h.ValueAtQuantile(q)) / float64(time.Millisecond/time.Microsecond)
+	}
+	return []Measure{
+		{Name: name + ", p50", Value: milliseconds(50), Unit: "ms"},
+		{Name: name + ", p95", Value: milliseconds(95), Unit: "ms"},
+	}
+}
--- /dev/null
+++ b/internal/trial/site/site.go
@@ -0,0 +1,209 @@
+// Package site runs a whole site on loopback in one process: entries, slots and stand-ins, with load and faults.
+package site
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
+	"github.com/dragonflydeal/dragonflydeal/internal/fleet/settings"
+	"github.com/dragonflydeal/dragonflydeal/internal/process/entryd"
+	"github.com/dragonflydeal/dragonflydeal/internal/process/node"
+	"github.com/dragonflydeal/dragonflydeal/internal/process/slotd"
+	"github.com/dragonflydeal/dragonflydeal/internal/trial/engine"
+	"github.com/dragonflydeal/dragonflydeal/internal/trial/platform"
+	"github.com/dragonflydeal/dragonflydeal/internal/trial/service"
+)
+
+// readyTimeout bounds the wait for the site to be ready.
+const readyTimeout = 20 * time.Second
+
+// ErrNotReady reports a site whose entries did not all see all targets in time.
+var ErrNotReady = errors.New("the site is not ready in time")
+
+// Site is a running site.
+type Site struct {
+	options  Options
+	network  *Network
+	platform *platform.Platform
+	// engines and services are the stand-ins by target name.
+	engines  map[string]*engine.Engine
+	services map[string]*service.Service
+	// processes holds entries and slots by instance name; only the goroutine of the steps changes its elements.
+	processes map[string]*process
+	client    *http.Client
+	// servers are the stand-ins' HTTP servers.
+	servers []*http.Server
+	// ports counts the ports that were tried.
+	ports int
+
+	mu sync.Mutex
+	// configuration is what was published last; guarded by mu.
+	configuration configuration.Configuration
+	// published is when that was; guarded by mu.
+	published time.Time
+}
+
+// Options are the inputs of New.
+type Options struct {
+	// Shape gives the numbers of instances.
+	Shape
+	// Seed makes the choices of the load and the processes repeatable.
+	Seed uint64
+	// Log takes the events of all processes.
+	Log *slog.Logger
+}
+
+// Shape gives the numbers of instances of each data centre.
+type Shape struct {
+	// Centres are the names of the data centres.
+	Centres []string
+	// Entries, Engines and Services are counted for each data centre.
+	Entries, Engines, Services int
+	// Workspaces are the names of the workspaces.
+	Workspaces []string
+}
+
+// DefaultShape is a small site of three data centres.
+var DefaultShape = Shape{
+	Centres: []string{"riga-1", "riga-2", "riga-3"},
+	Entries: 3, Engines: 2, Services: 1,
+	Workspaces: []string{"school", "council", "desk"},
+}
+
+// process is an entry or a slot that runs in this program.
+type process struct {
+	name, centre string
+	role         settings.Role
+	settings     settings.Settings
+	// stop begins a graceful shutdown.
+	stop context.CancelFunc
+	// done is closed when the process has ended.
+	done chan struct{}
+	// err is the result of the process; it is set before done is closed.
+	err error
+	// starts counts the starts, so that each has random numbers of its own.
+	starts uint64
+}
+
+// New starts a site and waits until its entries serve.
+func New(ctx context.Context, o Options) (s *Site, err error) {
+	s = &Site{
+		options: o, network: NewNetwork(), platform: platform.New(),
+		engines: map[string]*engine.Engine{}, services: map[string]*service.Service{}, processes: map[string]*process{},
+		client: &http.Client{Timeout: time.Second},
+	}
+	if err := s.build(); err != nil {
+		s.Close()
+		return nil, fmt.Errorf("build the site: %w", err)
+	}
+	if err := s.publish(func(*configuration.Configuration) {}); err != nil {
+		s.Close()
+		return nil, err
+	}
+	for _, p := range s.processes {
+		s.start(p)
+	}
+	if err := s.await(ctx, s.serving); err != nil {
+		s.Close()
+		return nil, fmt.Errorf("start the site: %w", err)
+	}
+	return s, nil
+}
+
+// Close stops all processes gracefully and then the stand-ins.
+func (s *Site) Close() {
+	s.network.Heal()
+	for _, p := range s.processes {
+		if p.stop != nil {
+			p.stop()
+		}
+	}
+	for _, p := range s.processes {
+		if p.done != nil {
+			<-p.done
+		}
+	}
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+	s.client.CloseIdleConnections()
+}
+
+// start runs a process of the site in the background.
+func (s *Site) start(p *process) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	p.stop, p.done = cancel, done
+	own := p.settings
+	options := node.Options{
+		Settings: &own, Log: s.options.Log, Now: time.Now,
+		Dial: s.network.Dial(own.Listen.Addr(), p.centre),
+	}
+	p.starts++
+	random := rand.New(rand.NewPCG(s.options.Seed, xxhash.Sum64String(p.name)+p.starts))
+	go func() {
+		defer close(done)
+		if p.role == settings.RoleEntry {
+			p.err = entryd.New(entryd.Options{Options: options, Random: random}).Run(ctx)
+			return
+		}
+		p.err = slotd.New(slotd.Options{Options: options, Random: random}).Run(ctx)
+	}()
+}
+
+// publish changes the configuration and publishes it as the next revision.
+func (s *Site) publish(change func(*configuration.Configuration)) (err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.configuration)
+	s.configuration.Revision++
+	data, err := s.configuration.Encode()
+	if err != nil {
+		return fmt.Errorf("publish: %w", err)
+	}
+	if _, err := configuration.Parse(data); err != nil {
+		return fmt.Errorf("publish: %w", err)
+	}
+	s.published = time.Now()
+	s.platform.Publish(s.configuration.Revision, data)
+	return nil
+}
+
+// revision returns the newest published revision and the time of its publication.
+func (s *Site) revision() (int64, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.configuration.Revision, s.published
+}
+
+// listen opens a listener on a free port of loopback.
+func listen() (net.Listener, netip.AddrPort, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, netip.AddrPort{}, err
+	}
+	return l, l.Addr().(*net.TCPAddr).AddrPort(), nil
+}
+
+// serve runs a stand-in's HTTP interface and returns its address.
+func (s *Site) serve(handler http.Handler) (address netip.AddrPort, err error) {
+	l, address, err := listen()
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	s.servers = append(s.servers, server)
+	go func() { _ = server.Serve(l) }()
+	return address, nil
+}
--- a/internal/wire/link/link.go
+++ b/internal/wire/link/link.go
@@ -43,14 +43,16 @@
 // Pool keeps idle connections by address. It is safe for concurrent use.
 type Pool struct {
 	pool *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
-	// local is the source address of all connections.
-	local netip.Addr
+	// dial opens the TCP connections.
+	dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 }
 
 // Options are the inputs of NewPool.
 type Options struct {
 	// Local is the source address of all connections.
 	Local netip.Addr
+	// Dial opens a TCP connection; nil means the network's own way, from Local.
+	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 }
 
 // NewPool returns an empty Pool.
@@ -59,7 +61,19 @@
 		Expiration:  idleTimeout,
 		KeyCapacity: idleConns,
 	})
-	return &Pool{pool: pool, local: o.Local}
+	dial := o.Dial
+	if dial == nil {
+		dial = Dialer(o.Local)
+	}
+	return &Pool{pool: pool, dial: dial}
+}
+
+// Dialer returns a function that opens TCP connections from an address.
+func Dialer(local netip.Addr) func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	d := &net.Dialer{Timeout: dialTimeout, LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0))}
+	return func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp", address.String())
+	}
 }
 
 // Conn returns a connection that dials when first used, unless an idle one is there.
@@ -72,15 +86,16 @@
 	return p.pool.Close()
 }
 
-// dialer returns a dialer that sends from the instance's own address.
-func (p *Pool) dialer() *net.Dialer {
-	return &net.Dialer{Timeout: dialTimeout, LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(p.local, 0))}
-}
-
 // Transport returns an HTTP transport that sends from the instance's own address.
 func (p *Pool) Transport() *http.Transport {
 	return &http.Transport{
-		DialContext:         p.dialer().DialContext,
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			a, err := netip.ParseAddrPort(address)
+			if err != nil {
+				return nil, err
+			}
+			return p.dial(ctx, a)
+		},
 		MaxIdleConnsPerHost: idleConns,
 		IdleConnTimeout:     idleTimeout,
 	}
@@ -88,7 +103,7 @@
 
 // Dial opens a new connection.
 func (p *Pool) Dial(ctx context.Context, address netip.AddrPort) (conn drpcpool.Conn, err error) {
-	c, err := p.dialer().DialContext(ctx, "tcp", address.String())
+	c, err := p.dial(ctx, address)
 	if err != nil {
 		return nil, &ErrDial{Address: address, Cause: err}
 	}
