Judge keys at their home, hand answers out on demand, tell "not run" only where it is certain

Cause: a record was kept for ever, a refused key stayed open, an entry that was stopping said "not run" for keys that may have run through another entry, and the HTTP transport repeats a POST with an empty body and an Idempotency-Key by itself. Change: records with a lifetime, a clock allowance and bounded memory (a floor of time closes the unopened keys of a workspace that holds its share); a fresh key with each "not run"; one gate in the entry for the outcome a caller is told; answers of a slot bounded in total and handed to a stream only when it has sent the part before; non-idempotent calls over a connection of their own, with no redirect, judged by whether a connection was ever made. Ruled out: telling "not run" from a missing record alone, because a late copy could still open it.

--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -34,6 +34,8 @@
 	exchanges map[string]*exchange
 	// flight counts this entry's requests in progress by target.
 	flight map[string]int
+	// heirs holds the successors of homes that left by the homes' incarnation.
+	heirs map[uint64]heir
 	// stopping is set by the stop event and never cleared.
 	stopping bool
 }
@@ -60,6 +62,7 @@
 		random:    o.Random,
 		exchanges: map[string]*exchange{},
 		flight:    map[string]int{},
+		heirs:     map[uint64]heir{},
 	}
 }
 
@@ -67,7 +70,7 @@
 func (c *Core) Handle(now time.Time, e Event) []Action {
 	switch {
 	case e.Arrival != nil:
-		return c.arrive(now, e.Arrival)
+		return honest(e.Arrival, c.arrive(now, e.Arrival))
 	case e.Chunk != nil:
 		return c.receive(now, e.Chunk)
 	case e.Broken != nil:
@@ -171,6 +174,7 @@
 	if !c.view.Accept(now, h) {
 		return nil
 	}
+	c.inherit(now, &h)
 	if known && before.State == h.State && before.Incarnation == h.Incarnation {
 		return nil
 	}
--- a/internal/core/entry/entry_request.go
+++ b/internal/core/entry/entry_request.go
@@ -13,6 +13,7 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/membership"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/answer"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/key"
 )
 
 const (
@@ -40,6 +41,12 @@
 	deadline time.Time
 	// sent is set when a byte of any attempt may have reached a slot.
 	sent bool
+	// doubt is set when a target was given up that may have run the request.
+	doubt bool
+	// certain is set when the key's home said that the call was not run.
+	certain bool
+	// barren counts the broken attempts since the newest byte of the answer.
+	barren int
 }
 
 // signal moves the exchange along the request chart.
@@ -82,9 +89,10 @@
 	if a.Home != "" {
 		return c.resume(now, x, a.Home)
 	}
-	if r.Once {
+	if r.Once || key.Ours(a.Key) {
 		return c.arriveOnce(now, x)
 	}
+	x.request.Key = ""
 	c.exchanges[a.ID] = x
 	return c.attempt(now, x)
 }
@@ -132,6 +140,7 @@
 	}
 	var actions []Action
 	if len(data) > 0 {
+		x.barren = 0
 		x.signal("data")
 		actions = append(actions, Action{Forward: &Forward{
 			ID: k.ID, Answer: x.request.Identity(), Home: x.target, Offset: x.assembler.Offset() - int64(len(data)), Data: data,
@@ -148,11 +157,17 @@
 func (c *Core) conclude(now time.Time, x *exchange, k *call.Chunk) []Action {
 	switch k.Outcome {
 	case call.OutcomeComplete:
+		if !x.assembler.Ends(k) {
+			return c.finish(x, http.StatusBadGateway, call.OutcomeFailed, "the answer ends before what was sent of it", 0)
+		}
 		return c.complete(x, k)
 	case call.OutcomeNotRun:
 		x.tried[x.target] = true
-		if x.request.Key != "" || x.request.Lookup {
-			return c.finish(x, statusOf(k, http.StatusServiceUnavailable), k.Outcome, k.Reason, k.Retry)
+		switch {
+		case x.request.Lookup:
+			return c.finish(x, statusOf(k, http.StatusGone), k.Outcome, k.Reason, k.Retry)
+		case x.request.Key != "":
+			return c.closed(now, x, k)
 		}
 		return c.attempt(now, x)
 	default:
@@ -183,7 +198,7 @@
 	home := x.target
 	c.drop(x)
 	finish := Action{Finish: &Finish{
-		ID: x.request.ID, Answer: x.request.Identity(), Home: home, Status: status, Outcome: outcome, Reason: reason, Retry: retry,
+		ID: x.request.ID, Answer: x.request.Identity(), Home: home, Status: status, Outcome: x.told(outcome), Reason: reason, Retry: retry,
 		Stream: x.route.Stream, Offset: x.assembler.Offset(),
 	}}
 	return append([]Action{finish}, c.settle()...)
@@ -207,7 +222,7 @@
 	if !x.sent {
 		x.tried[x.target] = true
 		if x.request.Key != "" || x.request.Lookup {
-			return c.unreachable(x, b.Reason)
+			return c.unreachable(now, x, b.Reason)
 		}
 		return c.attempt(now, x)
 	}
@@ -219,21 +234,30 @@
 	t, ok := c.configuration.Target(x.target)
 	m, known := c.view.Member(now, x.target)
 	lost := !known || m.State == membership.StateLost || m.State == membership.StateGone
-	if ok && !lost && x.request.Attempt < maxAttempts && now.Before(x.deadline) {
+	x.barren++
+	if ok && !lost && x.barren < maxAttempts && now.Before(x.deadline) {
 		return c.send(now, x, t)
 	}
 	if x.request.Key == "" && !x.request.Lookup && x.assembler.Offset() == 0 {
 		x.tried[x.target] = true
 		x.sent = false
+		x.doubt = true
 		return c.attempt(now, x)
 	}
-	return c.unreachable(x, reason)
+	return c.unreachable(now, x, reason)
 }
 
-// unreachable ends an exchange whose target cannot be asked what became of it.
-func (c *Core) unreachable(x *exchange, reason string) []Action {
+// unreachable asks the successor of a key's home or ends an exchange whose target cannot be asked.
+func (c *Core) unreachable(now time.Time, x *exchange, reason string) []Action {
+	k, err := key.Parse(x.request.Identity())
+	if err == nil && now.Before(x.deadline) {
+		if t, ok := c.heirOf(k); ok && t.Name != x.target && !x.tried[t.Name] {
+			x.tried[t.Name] = true
+			return c.consult(now, x, t)
+		}
+	}
 	outcome := call.OutcomeUnknown
-	if x.request.Key == "" {
+	if x.request.Key == "" && !x.request.Lookup {
 		outcome = call.OutcomeFailed
 	}
 	return c.finish(x, http.StatusBadGateway, outcome, reason, defaultRetry)
@@ -260,7 +284,7 @@
 		}
 		actions = append(actions, Action{Cancel: &Cancel{ID: x.request.ID, Attempt: x.request.Attempt}})
 		outcome := call.OutcomeFailed
-		if x.request.Key != "" {
+		if x.request.Key != "" || x.request.Lookup {
 			outcome = call.OutcomeUnknown
 		}
 		actions = append(actions, c.finish(x, http.StatusGatewayTimeout, outcome, "the deadline passed", defaultRetry)...)
--- a/internal/core/entry/event.go
+++ b/internal/core/entry/event.go
@@ -112,6 +112,13 @@
 	Deadline time.Time
 }
 
+// Left returns the time left for the request, and false when it must not be sent any more.
+// It is asked immediately before the send, because the process may have been paused since the action.
+func (s *Send) Left(now time.Time) (left time.Duration, ok bool) {
+	left = s.Deadline.Sub(now)
+	return left, left > 0
+}
+
 // Cancel ends an attempt.
 type Cancel struct {
 	// ID is the request.
--- a/internal/core/slot/event.go
+++ b/internal/core/slot/event.go
@@ -16,6 +16,8 @@
 	Arrival *Arrival
 	// Detach is the end of an entry's stream.
 	Detach *Detach
+	// Drained tells that a stream has sent what it was handed.
+	Drained *Drained
 	// Output is a part of the engine's answer.
 	Output *Output
 	// Result is the end of the engine's answer.
@@ -49,6 +51,14 @@
 	Stream uint64
 }
 
+// Drained tells that a stream has sent what it was handed.
+type Drained struct {
+	// ID is the identity of the request.
+	ID string
+	// Stream is that of the arrival.
+	Stream uint64
+}
+
 // Output is a part of the engine's answer.
 type Output struct {
 	// ID is that of the run.
@@ -165,6 +175,12 @@
 	Deadline time.Time
 }
 
+// Due reports whether the request may still be started.
+// It is asked immediately before the call, because the process may have been paused since the action.
+func (r *Run) Due(now time.Time) bool {
+	return now.Before(r.Deadline)
+}
+
 // Abort cancels a request at the engine.
 type Abort struct {
 	// ID is that of the run.
--- a/internal/core/slot/slot.go
+++ b/internal/core/slot/slot.go
@@ -9,6 +9,7 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/base/chart"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/membership"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/record"
 )
 
 //go:embed job.chart
@@ -36,6 +37,18 @@
 	prefixes []uint64
 	// jobs holds the known requests by ID.
 	jobs map[string]*job
+	// active holds the jobs that have not ended.
+	active map[string]*job
+	// finished holds the IDs of ended jobs in the order of their end.
+	finished []string
+	// kept holds the IDs of ended jobs with an answer in memory in the order of their end.
+	kept []string
+	// held is the number of answer bytes in memory.
+	held int
+	// book holds the records of non-idempotent calls.
+	book *record.Book
+	// swept is the time of the newest search for expired records.
+	swept time.Time
 	// queue holds the IDs of jobs that wait for the engine, in order.
 	queue []string
 	// running is the number of jobs at the engine; it is at most the target's width.
@@ -50,6 +63,10 @@
 type Limits struct {
 	// Answer is the largest answer in bytes.
 	Answer int
+	// Total is the largest number of bytes of all answers together.
+	Total int
+	// Records is the largest number of records of non-idempotent calls.
+	Records int
 	// Queue is the largest number of waiting requests for each unit of the target's width.
 	Queue int
 	// Keep is how long a finished answer is kept for its caller.
@@ -63,6 +80,8 @@
 // DefaultLimits are the limits of a slot in operation.
 var DefaultLimits = Limits{
 	Answer:   8 << 20,
+	Total:    32 << 20,
+	Records:  1 << 15,
 	Queue:    2,
 	Keep:     time.Minute,
 	Orphan:   3 * time.Second,
@@ -81,11 +100,14 @@
 
 // New returns a core that knows no configuration yet.
 func New(o Options) *Core {
+	incarnation := o.Random.Uint64()
 	return &Core{
 		name:        o.Name,
-		incarnation: o.Random.Uint64(),
+		incarnation: incarnation,
 		state:       membership.Chart.Start,
 		jobs:        map[string]*job{},
+		active:      map[string]*job{},
+		book:        record.NewBook(record.Options{Home: o.Name, Incarnation: incarnation, Limit: o.Limits.Records}),
 		limits:      o.Limits,
 	}
 }
@@ -97,6 +119,8 @@
 		return c.arrive(now, e.Arrival)
 	case e.Detach != nil:
 		return c.detach(now, e.Detach)
+	case e.Drained != nil:
+		return c.drained(e.Drained)
 	case e.Output != nil:
 		return c.output(e.Output)
 	case e.Result != nil:
@@ -223,7 +247,7 @@
 
 // settle lets a leaving slot exit once nothing is in progress and entries know.
 func (c *Core) settle(now time.Time) []Action {
-	if c.state != membership.StateLeaving || c.running > 0 || len(c.queue) > 0 {
+	if c.state != membership.StateLeaving || c.running > 0 || len(c.queue) > 0 || c.viewed() {
 		return nil
 	}
 	if now.Sub(c.announced) < c.limits.Announce {
--- a/internal/core/slot/slot_job.go
+++ b/internal/core/slot/slot_job.go
@@ -9,7 +9,6 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/base/chart"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/answer"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
-	"github.com/dragonflydeal/dragonflydeal/internal/request/key"
 )
 
 // defaultRetry is the advice when nothing better is known.
@@ -25,18 +24,22 @@
 type job struct {
 	// state is a state of the job chart.
 	state chart.State
-	// request is as it first arrived.
+	// request is as it first arrived; its body is dropped at the end.
 	request call.Request
 	// viewers are the attached streams, the oldest first.
 	viewers []*viewer
 	// buffer holds the answer so far.
 	buffer *answer.Buffer
+	// overflow is set when a part of the answer found no room.
+	overflow bool
 	// deadline is the end of the caller's wait.
 	deadline time.Time
 	// detached is the time from which viewers was empty; it is zero while it is not.
 	detached time.Time
 	// ended is the time of the end, or zero.
 	ended time.Time
+	// stale is set when the job was kept long enough and only waits for its viewers to leave.
+	stale bool
 	// status and media are the engine's.
 	status int
 	media  string
@@ -45,55 +48,40 @@
 	reason  string
 }
 
-// viewer is a stream that a job's answer goes to.
-type viewer struct {
-	// stream is unique in the process.
-	stream uint64
-	// id is the request ID that the stream's chunks carry.
-	id string
-	// sent is the offset of the next byte for the stream.
-	sent int64
-}
-
 // arrive attaches a stream to a known request or admits a new one.
 func (c *Core) arrive(now time.Time, a *Arrival) []Action {
+	if a.Key != "" {
+		return c.arriveOnce(now, a)
+	}
 	if j := c.jobs[a.Identity()]; j != nil {
 		return c.attach(j, a)
 	}
-	if a.Key != "" {
-		if refusal := c.checkKey(a); refusal != nil {
-			return refusal
-		}
+	if a.Lookup || a.Answer != "" || a.Offset > 0 {
+		return refuseUnknown(a)
 	}
-	if a.Lookup {
-		return refuse(a, call.OutcomeUnknown, http.StatusGone, "the answer is not kept here", 0)
+	if c.needsKey(a) {
+		return refuse(a, call.OutcomeNotRun, 0, "the route takes only requests with an idempotency key", defaultRetry)
 	}
 	if refusal := c.checkAdmission(a); refusal != nil {
 		return refusal
 	}
+	return c.enqueue(now, a)
+}
+
+// enqueue makes a job of a new request.
+func (c *Core) enqueue(now time.Time, a *Arrival) []Action {
 	j := &job{
 		state: life.Start, request: a.Request, viewers: []*viewer{{stream: a.Stream, id: a.ID, sent: a.Offset}},
 		buffer: answer.NewBuffer(c.limits.Answer), deadline: now.Add(a.Remaining),
 	}
 	id := a.Identity()
 	c.jobs[id] = j
+	c.active[id] = j
 	c.queue = append(c.queue, id)
 	acknowledge := Action{Chunk: &Chunk{Stream: a.Stream, Chunk: call.Chunk{ID: a.ID}}}
 	return append([]Action{acknowledge}, c.admit(now)...)
 }
 
-// checkKey refuses a key that this slot process may not run.
-func (c *Core) checkKey(a *Arrival) []Action {
-	k, err := key.Parse(a.Key)
-	if err != nil || k.Home != c.name || k.Workspace != key.WorkspaceHash(a.Workspace) {
-		return refuse(a, call.OutcomeNotRun, http.StatusBadRequest, "the idempotency key belongs elsewhere", 0)
-	}
-	if k.Incarnation != c.incarnation {
-		return refuse(a, call.OutcomeUnknown, http.StatusConflict, "the target was restarted after the key was given out", 0)
-	}
-	return nil
-}
-
 // refuse ends a stream for a request that gets no job.
 func refuse(a *Arrival, outcome call.Outcome, status int, reason string, retry time.Duration) []Action {
 	return []Action{{Chunk: &Chunk{Stream: a.Stream, Chunk: call.Chunk{
@@ -101,53 +89,13 @@
 	}}}}
 }
 
-// attach moves the answer of a known request to a new stream.
-func (c *Core) attach(j *job, a *Arrival) []Action {
-	if a.Workspace != j.request.Workspace {
-		return refuse(a, call.OutcomeNotRun, http.StatusForbidden, "the answer belongs to another workspace", 0)
-	}
-	v := &viewer{stream: a.Stream, id: a.ID, sent: a.Offset}
-	j.viewers = append(j.viewers, v)
-	j.detached = time.Time{}
-	acknowledge := Action{Chunk: &Chunk{Stream: a.Stream, Chunk: call.Chunk{ID: a.ID, Offset: a.Offset}}}
-	return append([]Action{acknowledge}, j.flushTo(v)...)
-}
-
-// flush sends to each attached stream what it has not had yet, and the end.
-func (j *job) flush() (actions []Action) {
-	for _, v := range j.viewers {
-		actions = append(actions, j.flushTo(v)...)
-	}
-	return actions
-}
-
-// flushTo sends to one stream what it has not had yet, and the end.
-func (j *job) flushTo(v *viewer) []Action {
-	ended := !j.ended.IsZero()
-	data := j.buffer.From(v.sent)
-	if len(data) == 0 && !ended {
-		return nil
-	}
-	k := call.Chunk{ID: v.id, Offset: v.sent, Data: data, Status: j.status, Media: j.media}
-	v.sent += int64(len(data))
-	if ended {
-		k.End, k.Outcome, k.Reason = true, j.outcome, j.reason
-	}
-	return []Action{{Chunk: &Chunk{Stream: v.stream, Chunk: k}}}
-}
-
-// detach notes that an entry's stream has ended.
-func (c *Core) detach(now time.Time, d *Detach) []Action {
-	j := c.jobs[d.ID]
-	if j == nil {
-		return nil
-	}
-	before := len(j.viewers)
-	j.viewers = slices.DeleteFunc(j.viewers, func(v *viewer) bool { return v.stream == d.Stream })
-	if before > 0 && len(j.viewers) == 0 {
-		j.detached = now
+// refuseUnknown answers a look-up that finds nothing, or nothing that the workspace may see.
+func refuseUnknown(a *Arrival) []Action {
+	outcome := call.OutcomeUnknown
+	if a.Offset > 0 && !a.Lookup && a.Key == "" {
+		outcome = call.OutcomeFailed
 	}
-	return nil
+	return refuse(a, outcome, http.StatusGone, "the answer is not kept here", 0)
 }
 
 // move takes the job along its chart.
@@ -157,12 +105,22 @@
 	}
 }
 
-// end closes a job and tells its stream.
+// end closes a job and tells its stream. A key that was not run is closed for good.
 func (c *Core) end(now time.Time, j *job, s chart.Signal, outcome call.Outcome, reason string) []Action {
+	id := j.request.Identity()
 	j.move(s)
 	j.ended = now
 	j.outcome = outcome
 	j.reason = reason
+	j.request.Body = nil
+	if j.request.Key != "" && outcome == call.OutcomeNotRun {
+		c.book.Close(j.request.Key, j.request.Fingerprint)
+	}
+	delete(c.active, id)
+	c.finished = append(c.finished, id)
+	if j.buffer.Held() > 0 {
+		c.kept = append(c.kept, id)
+	}
 	return j.flush()
 }
 
@@ -173,12 +131,41 @@
 		return nil
 	}
 	j.status, j.media = o.Status, o.Media
-	if !j.buffer.Append(o.Data) {
-		return []Action{{Abort: &Abort{ID: o.ID}}}
+	if j.overflow || !c.store(j, o.Data) {
+		return c.overflow(j, o.ID)
 	}
 	return j.flush()
 }
 
+// store keeps a part of an answer and drops older answers to make room.
+func (c *Core) store(j *job, data []byte) bool {
+	if !j.buffer.Append(data) {
+		return false
+	}
+	c.held += len(data)
+	for c.held > c.limits.Total && len(c.kept) > 0 {
+		c.forget(c.jobs[c.kept[0]])
+		c.kept = c.kept[1:]
+	}
+	return c.held <= c.limits.Total
+}
+
+// forget drops the bytes of an answer.
+func (c *Core) forget(j *job) {
+	if j != nil {
+		c.held -= j.buffer.Drop()
+	}
+}
+
+// overflow marks an answer that found no room; only an idempotent request is given up for it.
+func (c *Core) overflow(j *job, id string) []Action {
+	j.overflow = true
+	if j.request.Key != "" {
+		return nil
+	}
+	return []Action{{Abort: &Abort{ID: id}}}
+}
+
 // result takes in the end of the engine's answer.
 func (c *Core) result(now time.Time, r *Result) []Action {
 	j := c.jobs[r.ID]
@@ -190,8 +177,10 @@
 		j.status, j.media = r.Status, r.Media
 	}
 	signal := chart.Signal("fail")
-	outcome := r.Outcome
+	outcome, reason := r.Outcome, r.Reason
 	switch {
+	case j.overflow && (outcome == call.OutcomeComplete || j.request.Key == ""):
+		outcome, reason = call.OutcomeFailed, "the answer is larger than what is kept"
 	case outcome == call.OutcomeComplete:
 		signal = "complete"
 	case outcome == call.OutcomeNotRun:
@@ -200,28 +189,55 @@
 		signal = "lose"
 		outcome = call.OutcomeUnknown
 	}
-	actions := c.end(now, j, signal, outcome, r.Reason)
+	actions := c.end(now, j, signal, outcome, reason)
 	actions = append(actions, c.admit(now)...)
 	return append(actions, c.settle(now)...)
 }
 
 // expire drops answers that were kept long enough and ends requests that nobody waits for.
 func (c *Core) expire(now time.Time) []Action {
+	c.retire(now)
+	c.expireRecords(now)
 	var actions []Action
-	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
-		j := c.jobs[id]
-		switch {
-		case !j.ended.IsZero():
-			if j.request.Key == "" && now.Sub(j.ended) > c.limits.Keep {
-				delete(c.jobs, id)
-			}
-		case j.request.Key != "" || j.detached.IsZero() || now.Sub(j.detached) < c.limits.Orphan:
-		case j.state == jobQueued:
+	for _, id := range slices.Sorted(maps.Keys(c.active)) {
+		j := c.active[id]
+		if j.request.Key != "" || j.detached.IsZero() || now.Sub(j.detached) < c.limits.Orphan {
+			continue
+		}
+		switch j.state {
+		case jobQueued:
 			c.queue = slices.DeleteFunc(c.queue, func(v string) bool { return v == id })
 			actions = append(actions, c.end(now, j, "cancel", call.OutcomeNotRun, "nobody waits for the answer")...)
-		case j.state == jobRunning:
+		case jobRunning:
 			actions = append(actions, Action{Abort: &Abort{ID: id}})
 		}
 	}
 	return actions
 }
+
+// retire drops the jobs of idempotent requests that were kept long enough.
+func (c *Core) retire(now time.Time) {
+	for len(c.finished) > 0 {
+		id := c.finished[0]
+		j := c.jobs[id]
+		if j != nil && now.Sub(j.ended) <= c.limits.Keep {
+			return
+		}
+		c.finished = c.finished[1:]
+		if j != nil && (j.request.Key == "" || j.stale) {
+			c.discard(id, j)
+		}
+	}
+	if len(c.kept) > 2*len(c.jobs) {
+		c.kept = slices.DeleteFunc(c.kept, func(id string) bool { return c.jobs[id] == nil })
+	}
+}
+
+// discard forgets a job, or leaves that to its last viewer.
+func (c *Core) discard(id string, j *job) {
+	c.forget(j)
+	j.stale = true
+	if len(j.viewers) == 0 {
+		delete(c.jobs, id)
+	}
+}
--- a/internal/process/entryd/entryd_callers.go
+++ b/internal/process/entryd/entryd_callers.go
@@ -16,6 +16,8 @@
 	httptransport "github.com/go-kit/kit/transport/http"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/core/entry"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/key"
 )
 
 // Headers of the callers' interface.
@@ -32,6 +34,8 @@
 type inputError struct {
 	status int
 	reason string
+	// repeated is set when an earlier copy of the request may have run.
+	repeated bool
 }
 
 // Error implements the error interface.
@@ -52,20 +56,35 @@
 }
 
 // decode reads a caller's request.
-func (p *Process) decode(_ context.Context, r *http.Request) (any, error) {
+func (p *Process) decode(ctx context.Context, r *http.Request) (any, error) {
+	a, err := p.arrival(ctx, r)
+	var input *inputError
+	if errors.As(err, &input) {
+		// A caller with a key or the name of an answer has sent its request before, and that one may have run.
+		answer, _, _ := strings.Cut(r.Header.Get(headerResume), "/")
+		input.repeated = key.Ours(r.Header.Get(headerKey)) || resumable(answer)
+	}
+	return a, err
+}
+
+// arrival reads a caller's request into an event.
+func (p *Process) arrival(_ context.Context, r *http.Request) (any, error) {
 	a := &entry.Arrival{Workspace: r.Header.Get(headerWorkspace), Path: r.URL.Path, Key: r.Header.Get(headerKey)}
+	if !r.ProtoAtLeast(1, 1) {
+		return nil, &inputError{status: http.StatusHTTPVersionNotSupported, reason: "HTTP/1.0 cannot show that an answer is not whole; use HTTP/1.1"}
+	}
 	if r.Method != http.MethodPost {
-		return nil, &inputError{http.StatusMethodNotAllowed, "use POST"}
+		return nil, &inputError{status: http.StatusMethodNotAllowed, reason: "use POST"}
 	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		return nil, &inputError{http.StatusRequestEntityTooLarge, "the body is too large or was cut off"}
+		return nil, &inputError{status: http.StatusRequestEntityTooLarge, reason: "the body is too large or was cut off"}
 	}
 	a.Body = body
 	if text := r.Header.Get(headerTimeout); text != "" {
 		a.Timeout, err = time.ParseDuration(text)
 		if err != nil || a.Timeout <= 0 {
-			return nil, &inputError{http.StatusBadRequest, headerTimeout + " is not a duration above zero such as 1.5s"}
+			return nil, &inputError{status: http.StatusBadRequest, reason: headerTimeout + " is not a duration above zero such as 1.5s"}
 		}
 	}
 	a.ID = newID()
@@ -91,19 +110,29 @@
 
 // resume reads an event ID into an arrival.
 func resume(a *entry.Arrival, text string) error {
-	parts := strings.Split(text, "/")
-	bad := &inputError{http.StatusBadRequest, headerResume + " is not an event ID of this system"}
-	if len(parts) != 3 || len(parts[0]) != hex.EncodedLen(idSize) || parts[1] == "" {
+	answer, rest, _ := strings.Cut(text, "/")
+	bad := &inputError{status: http.StatusBadRequest, reason: headerResume + " is not an event ID of this system"}
+	last := strings.LastIndexByte(rest, '/')
+	if last <= 0 || !resumable(answer) {
 		return bad
 	}
-	offset, err := strconv.ParseInt(parts[2], 10, 64)
+	offset, err := strconv.ParseInt(rest[last+1:], 10, 64)
 	if err != nil || offset < 0 {
 		return bad
 	}
-	a.Answer, a.Home, a.Offset = parts[0], parts[1], offset
+	a.Answer, a.Home, a.Offset = answer, rest[:last], offset
 	return nil
 }
 
+// resumable reports whether text can name an answer: by a request ID or by an idempotency key.
+func resumable(text string) bool {
+	if _, err := key.Parse(text); err == nil {
+		return true
+	}
+	id, err := hex.DecodeString(text)
+	return err == nil && len(id) == idSize
+}
+
 // submit hands a request to the core and returns its reply.
 func (p *Process) submit(ctx context.Context, a *entry.Arrival) *reply {
 	r := newReply()
@@ -133,11 +162,13 @@
 	r := response.(*reply)
 	defer p.forget(r.id)
 	defer r.close()
-	out := &writer{w: w}
+	out := newWriter(w)
+	defer out.release()
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			// A return would end the answer as if it were whole.
+			panic(http.ErrAbortHandler)
 		case <-r.wake:
 		}
 		for _, v := range r.take() {
@@ -149,10 +180,13 @@
 }
 
 func encodeError(_ context.Context, err error, w http.ResponseWriter) {
-	status := http.StatusBadRequest
+	status, outcome := http.StatusBadRequest, call.OutcomeNotRun
 	var input *inputError
 	if errors.As(err, &input) {
 		status = input.status
+		if input.repeated {
+			outcome = call.OutcomeUnknown
+		}
 	}
-	writeProblem(w, problem{Status: status, Outcome: "not-run", Detail: fmt.Sprint(err)})
+	writeProblem(w, problem{Status: status, Outcome: outcome.String(), Detail: fmt.Sprint(err)})
 }
--- a/internal/process/entryd/entryd_reply.go
+++ b/internal/process/entryd/entryd_reply.go
@@ -2,15 +2,12 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
-	"unicode/utf8"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/core/entry"
-	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
 )
 
 // replyWindow is the number of answer bytes that may wait for a slow caller.
@@ -87,114 +84,6 @@
 	r.drained.Broadcast()
 }
 
-// writer writes one reply as HTTP.
-type writer struct {
-	w http.ResponseWriter
-	// started is set when the header was written.
-	started bool
-	// rest holds the start of a character whose last bytes have not come yet.
-	rest []byte
-}
-
-// write writes a part and reports whether it was the last one.
-func (o *writer) write(v part) (done bool) {
-	if v.forward != nil {
-		o.forward(v.forward)
-		return false
-	}
-	o.finish(v.finish)
-	return true
-}
-
-func (o *writer) start(status int, media string) {
-	if o.started {
-		return
-	}
-	o.started = true
-	if status == 0 {
-		status = http.StatusOK
-	}
-	if media != "" {
-		o.w.Header().Set("Content-Type", media)
-	}
-	o.w.Header().Set("Cache-Control", "no-store")
-	o.w.WriteHeader(status)
-}
-
-func (o *writer) forward(f *entry.Forward) {
-	if !f.Stream {
-		o.start(f.Status, f.Media)
-		_, _ = o.w.Write(f.Data)
-		return
-	}
-	o.start(f.Status, "text/event-stream")
-	data := append(o.rest, f.Data...)
-	whole := len(data) - incomplete(data)
-	o.rest = append([]byte(nil), data[whole:]...)
-	if whole == 0 {
-		return
-	}
-	end := f.Offset + int64(len(f.Data)) - int64(len(o.rest))
-	o.event("", token(f.Answer, f.Home, end), text{Text: string(data[:whole])})
-}
-
-// incomplete returns the number of bytes at the end that start a character without finishing it.
-func incomplete(data []byte) int {
-	for n := 1; n <= min(utf8.UTFMax-1, len(data)); n++ {
-		b := data[len(data)-n]
-		if !utf8.RuneStart(b) {
-			continue
-		}
-		if utf8.FullRune(data[len(data)-n:]) {
-			return 0
-		}
-		return n
-	}
-	return 0
-}
-
-// text is the data of an event with a part of the answer.
-type text struct {
-	Text string `json:"text"`
-}
-
-// end is the data of the last event of a whole answer.
-type end struct {
-	// Size is the length of the whole answer in bytes.
-	Size int64 `json:"size"`
-}
-
-func (o *writer) event(name, id string, data any) {
-	if name != "" {
-		fmt.Fprintf(o.w, "event: %s\n", name)
-	}
-	if id != "" {
-		fmt.Fprintf(o.w, "id: %s\n", id)
-	}
-	body, _ := json.Marshal(data)
-	fmt.Fprintf(o.w, "data: %s\n\n", body)
-	if f, ok := o.w.(http.Flusher); ok {
-		f.Flush()
-	}
-}
-
-func (o *writer) finish(f *entry.Finish) {
-	switch {
-	case f.Outcome == call.OutcomeComplete && f.Stream:
-		o.start(f.Status, "text/event-stream")
-		o.event("end", token(f.Answer, f.Home, f.Offset), end{Size: f.Offset})
-	case f.Outcome == call.OutcomeComplete:
-		o.start(f.Status, f.Media)
-	case !o.started:
-		writeProblem(o.w, problemOf(f))
-	case f.Stream:
-		o.event("error", "", problemOf(f))
-	default:
-		// An aborted connection is the only way left to show that the answer is not whole.
-		panic(http.ErrAbortHandler)
-	}
-}
-
 // problem is an error for the caller after RFC 9457.
 type problem struct {
 	// Type names the kind of problem.
--- a/internal/process/entryd/entryd_slots.go
+++ b/internal/process/entryd/entryd_slots.go
@@ -43,25 +43,33 @@
 
 // exchange reports whether a byte of the request may have left, and an error unless the answer ended.
 func (p *Process) exchange(ctx context.Context, s *entry.Send) (sent bool, err error) {
-	conn, err := p.Pool.Dial(ctx, s.Address)
+	conn, err := p.Pool.Take(ctx, s.Address)
 	if err != nil {
 		return false, err
 	}
-	defer conn.Close()
-	if !p.Now().Before(s.Deadline) {
+	request := message.FromRequest(&s.Request)
+	left, ok := s.Left(p.Now())
+	if !ok {
+		_ = conn.Close()
 		return false, context.DeadlineExceeded
 	}
-	request := message.FromRequest(&s.Request)
-	request.Remaining = s.Deadline.Sub(p.Now()).Microseconds()
+	request.Remaining = left.Microseconds()
 	stream, err := message.NewDRPCSlotClient(conn).Serve(ctx, request)
+	if err == nil {
+		err = p.receive(conn, stream, s)
+	}
 	if err != nil {
+		_ = conn.Close()
 		return true, err
 	}
-	return true, p.receive(conn, stream, s)
+	_ = stream.Close()
+	p.Pool.Put(s.Address, conn)
+	return true, nil
 }
 
 // receive passes chunks to the core until the end of the answer.
 func (p *Process) receive(conn drpc.Conn, stream message.DRPCSlot_ServeClient, s *entry.Send) error {
+	reply := p.reply(s.Request.ID)
 	silence := time.AfterFunc(time.Duration(p.Settings.Ping), func() { _ = conn.Close() })
 	defer silence.Stop()
 	for {
@@ -73,10 +81,10 @@
 			return err
 		}
 		c := m.Call()
-		if r := p.reply(c.ID); r != nil && !c.Ping() {
-			r.room()
-		}
 		if !c.Ping() {
+			if reply != nil {
+				reply.room()
+			}
 			p.handle(entry.Event{Chunk: &entry.Chunk{Chunk: c, Attempt: s.Request.Attempt}})
 		}
 		if c.End {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -58,7 +58,7 @@
 		Settings: o.Settings,
 		Log:      o.Log,
 		Trail:    audit.NewTrail(o.Log),
-		Pool:     link.NewPool(link.Options{Local: o.Settings.Listen.Addr()}),
+		Pool:     link.NewPool(link.Options{Local: o.Settings.Listen.Addr(), Silence: time.Duration(o.Settings.Ping)}),
 		Mux:      drpcmux.New(),
 		Now:      o.Now,
 	}
--- a/internal/process/slotd/slotd.go
+++ b/internal/process/slotd/slotd.go
@@ -24,6 +24,8 @@
 	*node.Node
 	// client reaches the engine.
 	client *http.Client
+	// once reaches the engine for non-idempotent calls, each over a connection of its own.
+	once *http.Client
 	// exit is closed when the core has nothing in progress after a stop.
 	exit chan struct{}
 
@@ -55,7 +57,8 @@
 	limits.Announce = time.Duration(o.Settings.Drain)
 	return &Process{
 		Node:    node.New(o.Options),
-		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxEngineConns, IdleConnTimeout: engineIdle}},
+		client:  newClient(true),
+		once:    newClient(false),
 		exit:    make(chan struct{}),
 		core:    slot.New(slot.Options{Name: o.Settings.Name, Random: o.Random, Limits: limits}),
 		streams: map[uint64]*stream{},
--- a/internal/process/slotd/slotd_engine.go
+++ b/internal/process/slotd/slotd_engine.go
@@ -7,8 +7,9 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/core/slot"
@@ -97,44 +98,91 @@
 
 // call makes one call to the engine.
 func (p *Process) call(ctx context.Context, r *slot.Run) *slot.Result {
-	if !p.Now().Before(r.Deadline) {
-		return &slot.Result{ID: r.ID, Outcome: call.OutcomeNotRun, Reason: "the deadline passed"}
-	}
-	ctx, cancel := context.WithTimeout(ctx, r.Deadline.Sub(p.Now()))
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, p.url(r.Request.Path), bytes.NewReader(r.Request.Body))
+	request, err := p.request(ctx, r)
 	if err != nil {
 		return &slot.Result{ID: r.ID, Outcome: call.OutcomeNotRun, Reason: err.Error()}
 	}
-	// Without GetBody the transport cannot repeat a request on another connection.
-	request.GetBody = nil
+	if !r.Due(p.Now()) {
+		return &slot.Result{ID: r.ID, Outcome: call.OutcomeNotRun, Reason: "the deadline passed"}
+	}
+	response, err := p.clientOf(r).Do(request)
+	if err != nil {
+		return &slot.Result{ID: r.ID, Outcome: outcomeOf(connected.Load()), Reason: err.Error()}
+	}
+	defer response.Body.Close()
+	return p.copy(r, response)
+}
+
+// body hides the type of a reader, so that no part of the HTTP client can rewind and repeat it.
+type body struct {
+	io.Reader
+}
+
+// request returns the HTTP request of a run.
+func (p *Process) request(ctx context.Context, r *slot.Run) (request *http.Request, err error) {
+	request, err = http.NewRequestWithContext(ctx, http.MethodPost, p.url(r.Request.Path), body{bytes.NewReader(r.Request.Body)})
+	if err != nil {
+		return nil, err
+	}
+	request.ContentLength = int64(len(r.Request.Body))
 	request.Header.Set("Request-Id", r.Request.ID)
 	request.Header.Set("Workspace", r.Request.Workspace)
 	if r.Request.Key != "" {
 		request.Header.Set("Idempotency-Key", r.Request.Key)
 	}
-	response, err := p.client.Do(request)
-	if err != nil {
-		return &slot.Result{ID: r.ID, Outcome: outcomeOf(err), Reason: err.Error()}
+	return request, nil
+}
+
+// clientOf returns the client for a run: one whose connections are new for each non-idempotent call.
+func (p *Process) clientOf(r *slot.Run) *http.Client {
+	if r.Request.Key != "" {
+		return p.once
 	}
-	defer response.Body.Close()
-	return p.copy(r, response)
+	return p.client
 }
 
-// outcomeOf tells whether a failed call can have run: not if no connection was made.
-func outcomeOf(err error) call.Outcome {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return call.OutcomeNotRun
+// newClient returns a client of the engine that follows no redirect.
+func newClient(keep bool) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: maxEngineConns, IdleConnTimeout: engineIdle,
+			DisableKeepAlives: !keep, DisableCompression: true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
-	return call.OutcomeFailed
+}
+
+// outcomeOf tells whether a failed call can have run: not if it never had a connection.
+func outcomeOf(connected bool) call.Outcome {
+	if connected {
+		return call.OutcomeFailed
+	}
+	return call.OutcomeNotRun
+}
+
+// framed reports whether the end of an answer can be told from a broken connection.
+func framed(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
 
 // copy passes the answer's bytes to the core as they come.
 func (p *Process) copy(r *slot.Run, response *http.Response) *slot.Result {
 	media := response.Header.Get("Content-Type")
+	if !framed(response) {
+		return &slot.Result{
+			ID: r.ID, Outcome: call.OutcomeFailed, Status: http.StatusBadGateway,
+			Reason: "the target does not mark the end of its answers",
+		}
+	}
+	// The core copies what it keeps, so that one read buffer serves the whole answer.
+	data := make([]byte, readSize)
 	for {
-		data := make([]byte, readSize)
 		n, err := response.Body.Read(data)
 		if n > 0 {
 			p.handle(slot.Event{Output: &slot.Output{ID: r.ID, Data: data[:n], Status: response.StatusCode, Media: media}})
--- a/internal/process/slotd/slotd_server.go
+++ b/internal/process/slotd/slotd_server.go
@@ -71,6 +71,9 @@
 				if c.End {
 					return nil
 				}
+				if !c.Ping() {
+					p.handle(slot.Event{Drained: &slot.Drained{ID: r.Identity(), Stream: number}})
+				}
 			}
 		}
 	}
--- a/internal/request/answer/answer.go
+++ b/internal/request/answer/answer.go
@@ -36,11 +36,18 @@
 	return data, true
 }
 
+// Ends reports whether a last chunk ends exactly where the released bytes do.
+func (a *Assembler) Ends(c *call.Chunk) bool {
+	return c.Offset+int64(len(c.Data)) == a.next
+}
+
 // Buffer keeps the bytes of one answer up to a limit.
 type Buffer struct {
-	// data holds every byte from the start of the answer.
+	// data holds every byte from the start of the answer, or nothing once it was dropped.
 	data []byte
-	// limit is the largest length of data in bytes.
+	// size is the number of bytes that were added.
+	size int
+	// limit is the largest size in bytes.
 	limit int
 }
 
@@ -51,22 +58,39 @@
 
 // Append adds bytes at the end. It reports false, and adds nothing, when they do not fit.
 func (b *Buffer) Append(data []byte) bool {
-	if len(b.data)+len(data) > b.limit {
+	if b.size+len(data) > b.limit {
 		return false
 	}
 	b.data = append(b.data, data...)
+	b.size += len(data)
 	return true
 }
 
-// From returns the bytes from an offset on. The caller must not change them.
-func (b *Buffer) From(offset int64) []byte {
-	if offset < 0 || offset >= int64(len(b.data)) {
-		return nil
+// From returns the bytes from an offset on, and whether bytes that belong there were dropped.
+// The caller must not change them.
+func (b *Buffer) From(offset int64) (data []byte, dropped bool) {
+	if offset < 0 || offset >= int64(b.size) {
+		return nil, false
+	}
+	if len(b.data) < b.size {
+		return nil, true
 	}
-	return b.data[offset:len(b.data):len(b.data)]
+	return b.data[offset:b.size:b.size], false
+}
+
+// Drop forgets the bytes, but not their number, and returns how many were held.
+func (b *Buffer) Drop() int {
+	held := len(b.data)
+	b.data = nil
+	return held
+}
+
+// Held returns the number of bytes in memory.
+func (b *Buffer) Held() int {
+	return len(b.data)
 }
 
-// Size returns the number of bytes held.
+// Size returns the number of bytes that were added.
 func (b *Buffer) Size() int64 {
-	return int64(len(b.data))
+	return int64(b.size)
 }
--- a/internal/request/key/key.go
+++ b/internal/request/key/key.go
@@ -15,6 +15,13 @@
 // Prefix starts every key of this system.
 const Prefix = "dd1."
 
+const (
+	// Lifetime is how long a key can be used for certain, counted from its minting.
+	Lifetime = 10 * time.Minute
+	// Allowance is the largest difference between the wall clocks of two instances.
+	Allowance = 30 * time.Second
+)
+
 const (
 	fixedSize    = 8 + 8 + 8 + 8
 	checksumSize = 8
@@ -43,6 +50,21 @@
 	return xxhash.Sum64String(name)
 }
 
+// Expired reports whether a home refuses the key for good.
+func (k Key) Expired(wall time.Time) bool {
+	return wall.Sub(k.Minted) > Lifetime+Allowance
+}
+
+// Early reports whether the key was minted further in the future than clocks may differ.
+func (k Key) Early(wall time.Time) bool {
+	return k.Minted.Sub(wall) > Allowance
+}
+
+// Ours reports whether text claims to be a key of this system, even a damaged one.
+func Ours(text string) bool {
+	return strings.HasPrefix(text, Prefix)
+}
+
 // String returns the key as callers send it.
 func (k Key) String() string {
 	b := make([]byte, 0, fixedSize+len(k.Home)+checksumSize)
--- a/internal/wire/link/link.go
+++ b/internal/wire/link/link.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -18,6 +19,8 @@
 	dialTimeout = time.Second
 	// idleTimeout closes a connection before anything between the ends is likely to forget it.
 	idleTimeout = 2 * time.Second
+	// freshShare divides the silence limit into the age up to which an idle connection is used again.
+	freshShare = 2
 	// idleConns bounds the idle connections to one address.
 	idleConns = 8
 )
@@ -43,6 +46,10 @@
 // Pool keeps idle connections by address. It is safe for concurrent use.
 type Pool struct {
 	pool *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
+	// recent holds connections for Take.
+	recent *drpcpool.Pool[netip.AddrPort, *recentConn]
+	// fresh is the age of the last use from which Take no longer trusts a connection.
+	fresh time.Duration
 	// local is the source address of all connections.
 	local netip.Addr
 }
@@ -51,6 +58,14 @@
 type Options struct {
 	// Local is the source address of all connections.
 	Local netip.Addr
+	// Silence is the time after which a connection without a sign of life counts as silent.
+	Silence time.Duration
+}
+
+// recentConn is an idle connection with the time of its last use.
+type recentConn struct {
+	drpcpool.Conn
+	used time.Time
 }
 
 // NewPool returns an empty Pool.
@@ -59,7 +74,31 @@
 		Expiration:  idleTimeout,
 		KeyCapacity: idleConns,
 	})
-	return &Pool{pool: pool, local: o.Local}
+	recent := drpcpool.New[netip.AddrPort, *recentConn](drpcpool.Options{
+		Expiration:  idleTimeout,
+		KeyCapacity: idleConns,
+	})
+	return &Pool{pool: pool, recent: recent, fresh: o.Silence / freshShare, local: o.Local}
+}
+
+// Take returns a connection that worked a moment ago, or a new one. Its user owns it until Put.
+func (p *Pool) Take(ctx context.Context, address netip.AddrPort) (conn drpcpool.Conn, err error) {
+	for {
+		c, ok := p.recent.Take(address)
+		if !ok {
+			return p.Dial(ctx, address)
+		}
+		// The age is checked here too: the pool's own timers are late in a process that was frozen.
+		if time.Since(c.used) < p.fresh {
+			return c.Conn, nil
+		}
+		_ = c.Close()
+	}
+}
+
+// Put keeps a connection whose last stream ended well.
+func (p *Pool) Put(address netip.AddrPort, conn drpcpool.Conn) {
+	p.recent.Put(address, &recentConn{Conn: conn, used: time.Now()})
 }
 
 // Conn returns a connection that dials when first used, unless an idle one is there.
@@ -69,7 +108,7 @@
 
 // Close closes all idle connections.
 func (p *Pool) Close() error {
-	return p.pool.Close()
+	return errors.Join(p.pool.Close(), p.recent.Close())
 }
 
 // dialer returns a dialer that sends from the instance's own address.
