--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -61,9 +61,11 @@
 		Settings: o.Settings,
 		Log:      log,
 		Trail:    audit.NewTrail(log),
-		Pool:     link.NewPool(link.Options{Local: o.Settings.Listen.Addr(), Dial: o.Dial}),
-		Mux:      drpcmux.New(),
-		Now:      o.Now,
+		Pool: link.NewPool(link.Options{
+			Local: o.Settings.Listen.Addr(), Dial: o.Dial, Silence: time.Duration(o.Settings.Ping),
+		}),
+		Mux: drpcmux.New(),
+		Now: o.Now,
 	}
 }
 
