Spread configuration through a tree of entries; ask peers at start

Cause: every process watched the service itself, so calls grew with the fleet; a restart during a stale period put an older revision in force; a data centre cut from the service but not from its neighbours kept the old one; refusals left no audit line. Ruled out: JSON merge patches (arrays are replaced whole), a line diff (values are often one line); zstd with the base as dictionary carries any change exactly. Change: fleet/revision decides (chart value.chart); two watchers a data centre by rendezvous hashing, the rest follow in a tree of degree 8, watchers follow the next data centre, slots an entry; a starting process asks up to four entries and the peers of its settings before it is ready; direct reads only without a fresh contact, within a shared rate.

--- /dev/null
+++ b/internal/fleet/revision/revision_source.go
@@ -0,0 +1,144 @@
+package revision
+
+import (
+	"slices"
+	"time"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/base/rendezvous"
+	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
+)
+
+const (
+	// watchers is the number of entries of a data centre that watch the service.
+	watchers = 2
+	// degree is the number of entries that follow one entry.
+	degree = 8
+	// asked is the number of peers that a starting process asks for its revision.
+	asked = 4
+	// hold is how long a source that failed is passed over.
+	hold = 5 * time.Second
+)
+
+// Plan tells where a process learns of newer values.
+type Plan struct {
+	// Watch is set when the process reads the service as its task.
+	Watch bool
+	// Parent is the entry whose changes the process follows, or nil.
+	Parent *configuration.Entry
+}
+
+// Sources chooses a process's sources. It is not safe for concurrent use.
+type Sources struct {
+	// name and centre are those of the process.
+	name, centre string
+	// failed holds the times at which entries could not be followed.
+	failed map[string]time.Time
+}
+
+// NewSources returns the Sources of a process.
+func NewSources(name, centre string) *Sources {
+	return &Sources{name: name, centre: centre, failed: map[string]time.Time{}}
+}
+
+// Fail notes that an entry could not be followed.
+func (s *Sources) Fail(now time.Time, entry string) {
+	s.failed[entry] = now
+}
+
+// Clear notes that an entry answered.
+func (s *Sources) Clear(entry string) {
+	delete(s.failed, entry)
+}
+
+// usable reports whether an entry may be tried.
+func (s *Sources) usable(now time.Time, entry string) bool {
+	at, ok := s.failed[entry]
+	return !ok || now.Sub(at) >= hold
+}
+
+// Plan returns the present sources. Entries of a data centre form a tree with the watchers at its top;
+// watchers follow another data centre; slots follow an entry of their own.
+func (s *Sources) Plan(now time.Time, c *configuration.Configuration) Plan {
+	if c == nil {
+		return Plan{Watch: true}
+	}
+	own := s.order(now, c, s.centre, s.centre)
+	rank := slices.Index(own, s.name)
+	switch {
+	case rank >= watchers:
+		return Plan{Parent: find(c, own[(rank-watchers)/degree])}
+	case rank >= 0:
+		return Plan{Watch: true, Parent: s.abroad(now, c, rank)}
+	case len(own) > 0:
+		return Plan{Parent: find(c, rendezvous.Order(s.name, own)[0])}
+	}
+	return Plan{Watch: s.configured(c), Parent: s.abroad(now, c, 0)}
+}
+
+// configured reports whether the process is an entry of the configuration.
+func (s *Sources) configured(c *configuration.Configuration) bool {
+	return find(c, s.name) != nil
+}
+
+// order returns the usable entries of a data centre, the process itself included, ranked for a key.
+func (s *Sources) order(now time.Time, c *configuration.Configuration, centre, key string) []string {
+	var names []string
+	for _, e := range c.Entries {
+		if e.Centre == centre && (e.Name == s.name || s.usable(now, e.Name)) {
+			names = append(names, e.Name)
+		}
+	}
+	return rendezvous.Order(key, names)
+}
+
+// abroad returns an entry of the nearest data centre in a ring that has a usable one;
+// the first watcher looks forward and the second one backward.
+func (s *Sources) abroad(now time.Time, c *configuration.Configuration, rank int) *configuration.Entry {
+	own := slices.IndexFunc(c.Centres, func(v configuration.Centre) bool { return v.Name == s.centre })
+	for i := 1; i < len(c.Centres); i++ {
+		step := i
+		if rank%2 == 1 {
+			step = len(c.Centres) - i
+		}
+		centre := c.Centres[(max(own, 0)+step)%len(c.Centres)].Name
+		if names := s.order(now, c, centre, centre); len(names) > 0 {
+			return find(c, names[rank%2%len(names)])
+		}
+	}
+	return nil
+}
+
+func find(c *configuration.Configuration, name string) *configuration.Entry {
+	i := slices.IndexFunc(c.Entries, func(e configuration.Entry) bool { return e.Name == name })
+	if i < 0 {
+		return nil
+	}
+	return &c.Entries[i]
+}
+
+// Peers returns the entries that a starting process asks for a newer revision: half of its own data centre, half of others.
+func (s *Sources) Peers(c *configuration.Configuration) []configuration.Entry {
+	var near, far []string
+	for _, e := range c.Entries {
+		switch {
+		case e.Name == s.name:
+		case e.Centre == s.centre:
+			near = append(near, e.Name)
+		default:
+			far = append(far, e.Name)
+		}
+	}
+	near, far = rendezvous.Order(s.name, near), rendezvous.Order(s.name, far)
+	half := asked / 2
+	names := slices.Concat(near[:min(len(near), half)], far[:min(len(far), half)])
+	for _, rest := range slices.Concat(near[min(len(near), half):], far[min(len(far), half):]) {
+		if len(names) < asked {
+			names = append(names, rest)
+		}
+	}
+	var peers []configuration.Entry
+	for _, name := range names {
+		peers = append(peers, *find(c, name))
+	}
+	return peers
+}
--- /dev/null
+++ b/internal/fleet/revision/revision_test.go
@@ -0,0 +1,215 @@
+package revision
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/base/chart"
+	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
+)
+
+// value returns a published value with a revision and a number of targets.
+func value(revision int64, targets int, author string) []byte {
+	c := fleet(1, 3, targets)
+	c.Revision, c.Author = revision, author
+	data, _ := c.Encode()
+	return data
+}
+
+// fleet returns a configuration with entries and targets spread over data centres.
+func fleet(centres, entries, targets int) *configuration.Configuration {
+	c := &configuration.Configuration{Format: "1.0", Revision: 1}
+	for i := range centres {
+		c.Centres = append(c.Centres, configuration.Centre{Name: fmt.Sprintf("c%d", i)})
+	}
+	for i := range entries {
+		c.Entries = append(c.Entries, configuration.Entry{Name: fmt.Sprintf("entry-%d", i), Centre: c.Centres[i%centres].Name})
+	}
+	for i := range targets {
+		t := configuration.Target{Name: fmt.Sprintf("desk-%d", i), Centre: c.Centres[i%centres].Name, Kind: configuration.KindEngine, Pool: "desk", Width: 1}
+		t.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i * 7919 >> 8), byte(i * 104729 >> 4), byte(i * 31)}), uint16(i*7919))
+		c.Targets = append(c.Targets, t)
+	}
+	return c
+}
+
+func TestTake(t *testing.T) {
+	tests := []struct {
+		name   string
+		data   []byte
+		state  chart.State
+		signal chart.Signal
+	}{
+		{"newer", value(6, 2, "a"), StateForce, "valid"},
+		{"older", value(4, 2, "a"), StateIgnored, "old"},
+		{"same", value(5, 2, "a"), StateIgnored, "same"},
+		{"conflict", value(5, 2, "b"), StateRefused, "conflict"},
+		{"truncated", value(6, 2, "a")[:80], StateRefused, "invalid"},
+		{"no revision", value(0, 2, "a"), StateRefused, "invalid"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			b := NewBook()
+			is.Equal(b.Take(value(5, 2, "a")).State, StateHeld)
+			is.Equal(b.Open().State, StateForce)
+			v := b.Take(test.data)
+			is.Equal(v.State, test.state)
+			is.Equal(v.Signal, test.signal)
+			is.Equal(v.State == StateRefused, v.Err != nil)
+			if v.State != StateForce {
+				is.Equal(b.Position().Revision, int64(5))
+				is.Equal(b.Take(test.data).Fresh, v.State != StateRefused)
+			}
+		})
+	}
+}
+
+// TestRevisionNeverFalls offers random values in random order and checks the revision in force after each.
+func TestRevisionNeverFalls(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 200 {
+		b := NewBook()
+		last := int64(0)
+		for range 50 {
+			if random.IntN(10) == 0 {
+				b.Open()
+			}
+			data := value(random.Int64N(20), 1, fmt.Sprint(random.IntN(2)))
+			if random.IntN(4) == 0 {
+				data = data[:random.IntN(len(data))]
+			}
+			b.Take(data)
+			is.True(b.Position().Revision >= last)
+			last = b.Position().Revision
+		}
+	}
+}
+
+func TestPatch(t *testing.T) {
+	is := is.New(t)
+	a, b := NewBook(), NewBook()
+	a.Take(value(1, 3000, "a"))
+	base := a.Newest()
+	a.Take(value(2, 3001, "a"))
+	whole, err := MakePatch(nil, a.Newest())
+	is.NoErr(err)
+	change, err := MakePatch(base, a.Newest())
+	is.NoErr(err)
+	is.True(len(change.Data)*10 < len(whole.Data))
+
+	_, err = change.Apply(nil)
+	is.True(errors.Is(err, ErrBase))
+	b.Take(value(1, 3000, "a"))
+	data, err := change.Apply(b.Find(change.Base))
+	is.NoErr(err)
+	is.Equal(b.Take(data).State, StateHeld)
+	is.Equal(b.Position(), a.Position())
+	change.Digest++
+	_, err = change.Apply(base)
+	is.True(err != nil)
+}
+
+// TestTree checks that every entry's chain of parents ends at a watcher and that no entry has too many followers.
+func TestTree(t *testing.T) {
+	tests := []struct {
+		name    string
+		entries int
+		depth   int
+	}{
+		{"one", 1, 0}, {"today", 9, 1}, {"two years", 630, 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			c := fleet(min(9, test.entries), test.entries, 0)
+			now := time.Unix(0, 0)
+			followers := map[string]int{}
+			watching := 0
+			for _, e := range c.Entries {
+				depth := 0
+				plan := NewSources(e.Name, e.Centre).Plan(now, c)
+				if plan.Watch {
+					watching++
+				} else {
+					followers[plan.Parent.Name]++
+				}
+				for ; !plan.Watch; depth++ {
+					is.True(plan.Parent.Centre == e.Centre)
+					plan = NewSources(plan.Parent.Name, plan.Parent.Centre).Plan(now, c)
+				}
+				is.True(depth <= test.depth)
+			}
+			is.True(watching <= watchers*len(c.Centres))
+			for _, count := range followers {
+				is.True(count <= degree)
+			}
+		})
+	}
+}
+
+// TestSourcesFail fails one source after another until the process watches the service itself.
+func TestSourcesFail(t *testing.T) {
+	is := is.New(t)
+	c := fleet(1, 20, 0)
+	now := time.Unix(0, 0)
+	for _, e := range c.Entries {
+		s := NewSources(e.Name, e.Centre)
+		plan := s.Plan(now, c)
+		for range len(c.Entries) {
+			if plan.Parent == nil {
+				break
+			}
+			s.Fail(now, plan.Parent.Name)
+			plan = s.Plan(now, c)
+		}
+		is.True(plan.Watch)
+		is.True(plan.Parent == nil)
+		is.True(s.Plan(now.Add(hold), c).Parent != nil || NewSources(e.Name, e.Centre).Plan(now, c).Watch)
+	}
+}
+
+func TestReader(t *testing.T) {
+	is := is.New(t)
+	c := fleet(1, 630, 3700)
+	now := time.Unix(0, 0)
+	r := NewReader(rand.New(rand.NewPCG(1, 2)))
+	is.True(r.Due(now, true, 0))
+	is.True(!r.Due(now, false, 0))
+	is.True(r.Due(now, false, patience+1))
+	reads := 0
+	for end := now.Add(time.Minute); now.Before(end); now = now.Add(10 * time.Millisecond) {
+		if r.Due(now, false, time.Hour) {
+			reads++
+			r.Failed(now, false, c)
+		}
+	}
+	// All 4,330 processes together stay under the service's 2,000 reads a second.
+	is.True(float64(reads)/60*4330 < 2000)
+	is.True(reads > 5)
+}
+
+func BenchmarkPatch(b *testing.B) {
+	book := NewBook()
+	book.Take(value(1, 6000, "a"))
+	base := book.Newest()
+	book.Take(value(2, 6001, "a"))
+	for b.Loop() {
+		p, err := MakePatch(base, book.Newest())
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := p.Apply(base); err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(len(p.Data)), "bytes/change")
+		b.ReportMetric(float64(len(base.Data)), "bytes/value")
+	}
+}
--- a/internal/process/entryd/entryd.go
+++ b/internal/process/entryd/entryd.go
@@ -13,6 +13,7 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/core/entry"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
 	"github.com/dragonflydeal/dragonflydeal/internal/process/node"
+	"github.com/dragonflydeal/dragonflydeal/internal/wire/message"
 )
 
 const (
@@ -88,6 +89,9 @@
 	if err != nil {
 		return err
 	}
+	if err := message.DRPCRegisterEntry(p.Mux, &server{process: p}); err != nil {
+		return err
+	}
 	group, work := errgroup.WithContext(work)
 	group.Go(func() error { return p.ServePeers(work, peers) })
 	group.Go(func() error { return p.ServeHTTP(work, operators, p.Operators(p.probes())) })
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -40,6 +40,8 @@
 	Mux *drpcmux.Mux
 	// Now returns the present time.
 	Now func() time.Time
+	// follower keeps the configuration up to date.
+	follower *follower
 }
 
 // Options are the inputs of New.
@@ -54,7 +56,7 @@
 
 // New returns a Node that serves nothing yet.
 func New(o Options) *Node {
-	return &Node{
+	n := &Node{
 		Settings: o.Settings,
 		Log:      o.Log,
 		Trail:    audit.NewTrail(o.Log),
@@ -62,6 +64,8 @@
 		Mux:      drpcmux.New(),
 		Now:      o.Now,
 	}
+	n.follower = newFollower(n)
+	return n
 }
 
 // Listen opens a TCP listener.
--- a/internal/process/node/node_configuration.go
+++ b/internal/process/node/node_configuration.go
@@ -2,69 +2,130 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
-	"net/http"
+	"math/rand/v2"
+	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
+	"github.com/dragonflydeal/dragonflydeal/internal/fleet/revision"
 )
 
-const (
-	// watchWait is how long the configuration service may hold a watch.
-	watchWait = 2 * time.Second
-	// watchPause is the time between a failed watch and the next one.
-	watchPause = 250 * time.Millisecond
-)
+// planInterval is the time between two looks at what is due.
+const planInterval = 100 * time.Millisecond
 
-// Follow watches the configuration service and passes on each newer accepted revision.
-func (n *Node) Follow(ctx context.Context, accept func(*configuration.Configuration)) {
-	var revision int64
-	client := &http.Client{Transport: n.Pool.Transport(), Timeout: watchWait + time.Second}
-	for ctx.Err() == nil {
-		next, err := n.watch(ctx, client, revision)
-		switch {
-		case err != nil:
-			n.Log.Debug("watch", "error", err)
-			pause(ctx, watchPause)
-		case next != nil && next.Revision > revision:
-			revision = next.Revision
-			n.Trail.Record(n.Now(), "configuration", "revision", revision, "author", next.Author, "state", "accepted")
-			accept(next)
-		case next != nil:
-			pause(ctx, watchPause)
-		}
+// follower keeps a process's configuration up to date. It is safe for concurrent use.
+type follower struct {
+	node *Node
+	// accept puts a value in force; it is set before the follower runs.
+	accept func(*configuration.Configuration)
+
+	mu sync.Mutex
+	// book, sources and reader are guarded by mu.
+	book    *revision.Book
+	sources *revision.Sources
+	reader  *revision.Reader
+	// changed is closed at each accepted value; guarded by mu.
+	changed chan struct{}
+	// patch is the newest change that was made or received; guarded by mu.
+	patch *revision.Patch
+}
+
+func newFollower(n *Node) *follower {
+	return &follower{
+		node:    n,
+		book:    revision.NewBook(),
+		sources: revision.NewSources(n.Settings.Name, n.Settings.Centre),
+		reader:  revision.NewReader(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		changed: make(chan struct{}),
 	}
 }
 
-// watch asks once for a revision that is newer than the given one; nil means that there is none yet.
-func (n *Node) watch(ctx context.Context, client *http.Client, revision int64) (c *configuration.Configuration, err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("watch the configuration service: %w", err)
+// Follow passes on each newer accepted value until the context ends; the first one only
+// after several peers were asked for a newer one.
+func (n *Node) Follow(ctx context.Context, accept func(*configuration.Configuration)) {
+	f := n.follower
+	f.accept = accept
+	f.start(ctx)
+	var group errgroup.Group
+	group.Go(func() error { f.readAll(ctx); return nil })
+	group.Go(func() error { f.followAll(ctx); return nil })
+	_ = group.Wait()
+}
+
+// take offers a value to the book and reports what became of it.
+func (f *follower) take(data []byte, source string) revision.Verdict {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v := f.book.Take(data)
+	switch v.State {
+	case revision.StateForce:
+		f.notify()
+		f.enforce(f.book.Newest(), source, v.Changes)
+	case revision.StateHeld:
+		f.notify()
+	case revision.StateRefused:
+		if v.Fresh {
+			f.node.Trail.Record(f.node.Now(), "configuration", "revision", v.Position.Revision,
+				"state", "refused", "source", source, "reason", v.Err)
 		}
-	}()
-	url := fmt.Sprintf("http://%s/v1/configuration?after=%d&wait=%s", n.Settings.Platform, revision, watchWait)
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return nil, err
-	}
-	response, err := client.Do(request)
-	if err != nil {
-		return nil, err
 	}
-	defer response.Body.Close()
-	if response.StatusCode == http.StatusNoContent {
-		return nil, nil
+	return v
+}
+
+// notify wakes the streams of other processes; mu is held.
+func (f *follower) notify() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// enforce puts a value in force; mu is held, so values come in order.
+func (f *follower) enforce(v *revision.Value, source, changes string) {
+	f.node.Trail.Record(f.node.Now(), "configuration", "revision", v.Revision, "author", v.Configuration.Author,
+		"state", "accepted", "source", source, "changes", changes)
+	f.accept(v.Configuration)
+}
+
+// open puts the newest value in force at the end of the start and reports whether there was one.
+func (f *follower) open() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.book.Newest() == nil {
+		return false
 	}
-	if response.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("status %d", response.StatusCode)
+	v := f.book.Open()
+	f.enforce(v, "start", revision.Changes(nil, v.Configuration))
+	return true
+}
+
+// current returns the newest accepted configuration, or nil, and the position of its value.
+func (f *follower) current() (*configuration.Configuration, revision.Position) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v := f.book.Newest()
+	if v == nil {
+		return nil, revision.Position{}
 	}
-	data, err := io.ReadAll(io.LimitReader(response.Body, configuration.MaxSize+1))
-	if err != nil {
-		return nil, err
+	return v.Configuration, v.Position
+}
+
+// plan returns the present sources.
+func (f *follower) plan() revision.Plan {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var c *configuration.Configuration
+	if v := f.book.Newest(); v != nil {
+		c = v.Configuration
 	}
-	return configuration.Parse(data)
+	return f.sources.Plan(f.node.Now(), c)
+}
+
+// hear notes a contact with the service that is age old.
+func (f *follower) hear(age time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.book.Hear(f.node.Now(), age)
 }
 
 // pause waits for a time or the end of the context.
--- a/internal/trial/platform/platform.go
+++ b/internal/trial/platform/platform.go
@@ -30,6 +30,10 @@
 	down bool
 	// stale, above zero, hides newer revisions.
 	stale int64
+	// delay is the time that each answer is held.
+	delay time.Duration
+	// partial cuts each value off in the middle.
+	partial bool
 	// changed is closed at each change.
 	changed chan struct{}
 }
@@ -99,7 +103,7 @@
 	p.mu.Unlock()
 	for {
 		p.mu.Lock()
-		newest, changed, down := p.newest(), p.changed, p.down
+		newest, changed, down, delay, partial := p.newest(), p.changed, p.down, p.delay, p.partial
 		p.mu.Unlock()
 		switch {
 		case down:
@@ -108,7 +112,8 @@
 		case newest.revision > after || newest.revision > 0 && newest.revision < after:
 			// A stale service offers an older value to a reader that knows a newer one.
 			w.Header().Set("Revision", strconv.FormatInt(newest.revision, 10))
-			_, _ = w.Write(newest.data)
+			hold(r.Context(), delay)
+			send(w, newest.data, partial)
 			return
 		}
 		select {
