--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -40,6 +40,8 @@
 	Mux *drpcmux.Mux
 	// Now returns the present time.
 	Now func() time.Time
+	// follower keeps the configuration up to date.
+	follower *follower
 }
 
 // Options are the inputs of New.
@@ -57,7 +59,7 @@
 // New returns a Node that serves nothing yet.
 func New(o Options) *Node {
 	log := o.Log.With("instance", o.Settings.Name)
-	return &Node{
+	n := &Node{
 		Settings: o.Settings,
 		Log:      log,
 		Trail:    audit.NewTrail(log),
@@ -67,6 +69,8 @@
 		Mux: drpcmux.New(),
 		Now: o.Now,
 	}
+	n.follower = newFollower(n)
+	return n
 }
 
 // Listen opens a TCP listener.
