Bound the engines that one crashing request takes down

Cause: a request that kills its engine was retried and resent without end. Before (go test ./internal/proof/failure -run Crash, test first): crash_test.go:42: not true: s.crashes() <= suspect.MaxCrashes crash_test.go:83: not true: s.crashes() <= suspect.MaxCrashes Change: the slot names what ran when its engine died, by fingerprint, in its heartbeats; a suspect is tried alone once, at the same target from every entry, then refused with 422; a completed suspect is cleared. The entry holds the bad news for three heartbeats, so that no resend is ahead of the verdict. What waited at the dead engine is refused as not run and goes elsewhere. Ruled out: conviction at the first death (innocents that ran beside it would be refused); handing the list from slot to slot (the entries carry it already). After (-race -count=4): sequential resends through 9 entries, at most 2 of 6 engines; 1 to 3 of 8 innocent streams cut, each served when sent again, twice. Nine copies at once still took down 6 of 6 engines: routing is next.

--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/membership"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/route"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/suspect"
 )
 
 //go:embed request.chart
@@ -34,6 +35,7 @@
 	exchanges map[string]*exchange
 	// flight counts this entry's requests in progress by target.
 	flight map[string]int
+	crashes
 	// stopping is set by the stop event and never cleared.
 	stopping bool
 }
@@ -60,6 +62,7 @@
 		random:    o.Random,
 		exchanges: map[string]*exchange{},
 		flight:    map[string]int{},
+		crashes:   crashes{book: suspect.NewBook(), spread: o.Silence / 2},
 	}
 }
 
@@ -82,7 +85,7 @@
 		c.stopping = true
 		return c.settle()
 	case e.Tick != nil:
-		return c.expire(now)
+		return append(c.unhold(now), c.expire(now)...)
 	}
 	return nil
 }
@@ -171,6 +174,7 @@
 	if !c.view.Accept(now, h) {
 		return nil
 	}
+	c.learn(now, before, h)
 	if known && before.State == h.State && before.Incarnation == h.Incarnation {
 		return nil
 	}
--- a/internal/core/entry/entry_attempt.go
+++ b/internal/core/entry/entry_attempt.go
@@ -18,14 +18,25 @@
 	if x.request.Attempt >= maxAttempts {
 		return c.finish(x, http.StatusServiceUnavailable, call.OutcomeNotRun, "no target took the request", defaultRetry)
 	}
+	if refusal := c.screen(now, x); refusal != nil {
+		return refusal
+	}
 	targets, candidates := c.candidates(now, x)
-	i := c.picker.Pick(candidates)
+	i := c.choose(now, x, targets, candidates)
 	if i < 0 {
 		return c.finish(x, http.StatusServiceUnavailable, call.OutcomeNotRun, "no target of the pool is in reach", defaultRetry)
 	}
 	return c.send(now, x, targets[i])
 }
 
+// choose returns the index of the target for the next attempt, or -1 when there is none.
+func (c *Core) choose(now time.Time, x *exchange, targets []configuration.Target, candidates []route.Candidate) int {
+	if x.request.Alone {
+		return c.pickTrial(now, x, targets)
+	}
+	return c.picker.Pick(candidates)
+}
+
 // candidates returns the serving targets of the request's pool that were not tried.
 func (c *Core) candidates(now time.Time, x *exchange) (targets []configuration.Target, candidates []route.Candidate) {
 	for _, t := range c.configuration.Pool(x.route.Pool) {
--- a/internal/core/entry/entry_once.go
+++ b/internal/core/entry/entry_once.go
@@ -6,6 +6,7 @@
 
 	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/key"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/suspect"
 )
 
 // arriveOnce sends a non-idempotent request to the home that its key names.
@@ -22,14 +23,18 @@
 		c.exchanges[x.request.ID] = x
 		return c.finish(x, http.StatusBadGateway, call.OutcomeUnknown, "the key's home is no longer configured", 0)
 	}
+	x.request.Alone = c.book.Verdict(now, x.request.Fingerprint) == suspect.Suspected
 	c.exchanges[x.request.ID] = x
 	return c.send(now, x, t)
 }
 
 // mint answers with a fresh key, which the caller repeats the request with.
 func (c *Core) mint(now time.Time, x *exchange) []Action {
+	if c.book.Verdict(now, x.request.Fingerprint) == suspect.Convicted {
+		return refuse(x.request.ID, http.StatusUnprocessableEntity, suspect.Refusal, 0)
+	}
 	targets, candidates := c.candidates(now, x)
-	i := c.picker.Pick(candidates)
+	i := c.choose(now, x, targets, candidates)
 	if i < 0 {
 		return refuse(x.request.ID, http.StatusServiceUnavailable, "no target of the pool is in reach", defaultRetry)
 	}
--- a/internal/core/entry/entry_request.go
+++ b/internal/core/entry/entry_request.go
@@ -13,6 +13,7 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/membership"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/answer"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/suspect"
 )
 
 const (
@@ -40,6 +41,8 @@
 	deadline time.Time
 	// sent is set when a byte of any attempt may have reached a slot.
 	sent bool
+	// held is set when only the end is left to be told.
+	held *held
 }
 
 // signal moves the exchange along the request chart.
@@ -146,12 +149,16 @@
 
 // conclude acts on the end of an attempt.
 func (c *Core) conclude(now time.Time, x *exchange, k *call.Chunk) []Action {
+	if k.Crashed {
+		return c.crash(now, x, k)
+	}
 	switch k.Outcome {
 	case call.OutcomeComplete:
+		c.book.Note(now, x.request.Fingerprint, suspect.Cleared)
 		return c.complete(x, k)
 	case call.OutcomeNotRun:
 		x.tried[x.target] = true
-		if x.request.Key != "" || x.request.Lookup {
+		if x.request.Key != "" || x.request.Lookup || k.Status != 0 {
 			return c.finish(x, statusOf(k, http.StatusServiceUnavailable), k.Outcome, k.Reason, k.Retry)
 		}
 		return c.attempt(now, x)
@@ -199,7 +206,7 @@
 // interrupt acts on an attempt whose connection ended before the answer did.
 func (c *Core) interrupt(now time.Time, b *Broken) []Action {
 	x := c.exchanges[b.ID]
-	if x == nil || b.Attempt != x.request.Attempt {
+	if x == nil || b.Attempt != x.request.Attempt || x.held != nil {
 		return nil
 	}
 	x.signal("break")
--- a/internal/core/slot/slot.go
+++ b/internal/core/slot/slot.go
@@ -9,6 +9,7 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/base/chart"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/membership"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/suspect"
 )
 
 //go:embed job.chart
@@ -40,6 +41,7 @@
 	queue []string
 	// running is the number of jobs at the engine; it is at most the target's width.
 	running int
+	crashes
 	// limits bound what is kept.
 	limits Limits
 	// announced is the time from which the stop was announced to the entries.
@@ -86,6 +88,7 @@
 		incarnation: o.Random.Uint64(),
 		state:       membership.Chart.Start,
 		jobs:        map[string]*job{},
+		crashes:     crashes{book: suspect.NewBook()},
 		limits:      o.Limits,
 	}
 }
@@ -132,8 +135,9 @@
 }
 
 // Beat returns the next heartbeat.
-func (c *Core) Beat() membership.Heartbeat {
+func (c *Core) Beat(now time.Time) membership.Heartbeat {
 	c.sequence++
+	verdicts := c.book.Report(now)
 	return membership.Heartbeat{
 		Target:      c.name,
 		Incarnation: c.incarnation,
@@ -144,6 +148,9 @@
 		Width:       c.target.Width,
 		Revision:    c.Revision(),
 		Prefixes:    c.prefixes,
+		Suspects:    verdicts.Suspected,
+		Cleared:     verdicts.Cleared,
+		Convicted:   verdicts.Convicted,
 	}
 }
 
@@ -197,9 +204,9 @@
 
 // report takes in the engine's load report.
 func (c *Core) report(now time.Time, r *Report) []Action {
-	c.alive = r.Alive
+	c.alive = r.Alive && c.revived()
 	c.prefixes = r.Prefixes
-	if !r.Alive && c.state == membership.StateServing {
+	if !c.alive && c.state == membership.StateServing {
 		return c.signal("lost")
 	}
 	return append(c.open(), c.admit(now)...)
--- a/internal/core/slot/slot_job.go
+++ b/internal/core/slot/slot_job.go
@@ -43,6 +43,8 @@
 	// outcome and reason tell how the job ended.
 	outcome call.Outcome
 	reason  string
+	// crashed is set when the engine died while it ran the job.
+	crashed bool
 }
 
 // viewer is a stream that a job's answer goes to.
@@ -68,7 +70,7 @@
 	if a.Lookup {
 		return refuse(a, call.OutcomeUnknown, http.StatusGone, "the answer is not kept here", 0)
 	}
-	if refusal := c.checkAdmission(a); refusal != nil {
+	if refusal := c.checkAdmission(now, a); refusal != nil {
 		return refusal
 	}
 	j := &job{
@@ -131,7 +133,7 @@
 	k := call.Chunk{ID: v.id, Offset: v.sent, Data: data, Status: j.status, Media: j.media}
 	v.sent += int64(len(data))
 	if ended {
-		k.End, k.Outcome, k.Reason = true, j.outcome, j.reason
+		k.End, k.Outcome, k.Reason, k.Crashed = true, j.outcome, j.reason, j.crashed
 	}
 	return []Action{{Chunk: &Chunk{Stream: v.stream, Chunk: k}}}
 }
@@ -185,6 +187,7 @@
 	if j == nil || j.state != jobRunning {
 		return nil
 	}
+	actions := c.judge(now, r, j)
 	c.running--
 	if r.Status != 0 {
 		j.status, j.media = r.Status, r.Media
@@ -200,7 +203,7 @@
 		signal = "lose"
 		outcome = call.OutcomeUnknown
 	}
-	actions := c.end(now, j, signal, outcome, r.Reason)
+	actions = append(actions, c.end(now, j, signal, outcome, r.Reason)...)
 	actions = append(actions, c.admit(now)...)
 	return append(actions, c.settle(now)...)
 }
@@ -217,7 +220,7 @@
 			}
 		case j.request.Key != "" || j.detached.IsZero() || now.Sub(j.detached) < c.limits.Orphan:
 		case j.state == jobQueued:
-			c.queue = slices.DeleteFunc(c.queue, func(v string) bool { return v == id })
+			c.leave(id)
 			actions = append(actions, c.end(now, j, "cancel", call.OutcomeNotRun, "nobody waits for the answer")...)
 		case j.state == jobRunning:
 			actions = append(actions, Action{Abort: &Abort{ID: id}})
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -45,6 +45,10 @@
 	Prefixes []uint64
 	// Suspects are fingerprints of requests that may crash an engine.
 	Suspects []uint64
+	// Cleared are fingerprints of suspects that completed after all.
+	Cleared []uint64
+	// Convicted are fingerprints of requests that crashed an engine alone.
+	Convicted []uint64
 	// Successor is the target that takes over records when this one leaves.
 	Successor string
 	// Age is the time since the report was made, as known to the receiver.
--- a/internal/process/slotd/slotd_engine.go
+++ b/internal/process/slotd/slotd_engine.go
@@ -30,7 +30,7 @@
 func (p *Process) beat() *membership.Heartbeat {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h := p.core.Beat()
+	h := p.core.Beat(p.Now())
 	return &h
 }
 
@@ -87,6 +87,9 @@
 // run calls the engine and passes its answer to the core.
 func (p *Process) run(ctx context.Context, r *slot.Run) {
 	result := p.call(ctx, r)
+	if result.Outcome == call.OutcomeFailed && ctx.Err() == nil {
+		result.Crashed = !p.read(p.ctx).Alive
+	}
 	p.mu.Lock()
 	cancel := p.runs[r.ID]
 	delete(p.runs, r.ID)
--- a/internal/proof/failure/site_test.go
+++ b/internal/proof/failure/site_test.go
@@ -53,6 +53,8 @@
 	delay time.Duration
 	// poison is a body that crashes an engine.
 	poison string
+	// restart is the time after which a crashed engine is back; zero means never.
+	restart time.Duration
 	// change edits the configuration before it is published, or is nil.
 	change func(*configuration.Configuration)
 	// settings edits the settings of each process, or is nil.
@@ -158,7 +160,9 @@
 	}
 	for i := range s.options.engines {
 		target := fmt.Sprintf("desk-%s-%d", name, i)
-		stand := engine.New(engine.Options{Step: s.options.step, Lag: 100 * time.Millisecond, Poison: s.options.poison})
+		stand := engine.New(engine.Options{
+			Step: s.options.step, Lag: 100 * time.Millisecond, Poison: s.options.poison, Restart: s.options.restart,
+		})
 		s.engines[target] = stand
 		s.addTarget(centre, target, configuration.KindEngine, "desk", stand.Handler())
 	}
--- a/internal/request/call/call.go
+++ b/internal/request/call/call.go
@@ -66,6 +66,8 @@
 	Fingerprint uint64
 	// Lookup forbids a run: only a known answer is served.
 	Lookup bool
+	// Alone asks for a run with nothing else at the engine, because the request may crash it.
+	Alone bool
 }
 
 // Identity returns the name under which a slot knows the request: its key, Answer or ID.
@@ -99,6 +101,8 @@
 	Status int
 	// Media is the media type of the answer.
 	Media string
+	// Crashed tells that the engine died while it ran the request.
+	Crashed bool
 }
 
 // Ping reports whether a chunk only shows that the connection is alive.
--- /dev/null
+++ b/internal/request/suspect/suspect_test.go
@@ -0,0 +1,64 @@
+package suspect
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestVerdict(t *testing.T) {
+	start := time.Unix(0, 0)
+	tests := []struct {
+		name  string
+		notes []Verdict
+		after time.Duration
+		want  Verdict
+	}{
+		{"nothing noted", nil, 0, Unknown},
+		{"suspected", []Verdict{Suspected}, 0, Suspected},
+		{"cleared", []Verdict{Suspected, Cleared}, 0, Cleared},
+		{"cleared without suspicion", []Verdict{Cleared}, 0, Unknown},
+		{"suspected again", []Verdict{Suspected, Cleared, Suspected}, 0, Suspected},
+		{"convicted stays", []Verdict{Suspected, Convicted, Cleared, Suspected}, 0, Convicted},
+		{"expired", []Verdict{Convicted}, Term, Unknown},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			b := NewBook()
+			for i, v := range test.notes {
+				b.Note(start.Add(time.Duration(i)*time.Second), 1, v)
+			}
+			is.Equal(b.Verdict(start.Add(test.after+time.Duration(max(len(test.notes)-1, 0))*time.Second), 1), test.want)
+		})
+	}
+}
+
+func TestBookIsBounded(t *testing.T) {
+	is := is.New(t)
+	b := NewBook()
+	now := time.Unix(0, 0)
+	b.Note(now, 0, Convicted)
+	for i := range uint64(2 * bookSize) {
+		b.Note(now.Add(time.Duration(i)), i, Suspected)
+	}
+	is.Equal(len(b.records), bookSize)
+	is.Equal(b.Verdict(now, 0), Convicted)
+	r := b.Report(now.Add(time.Minute))
+	is.Equal(len(r.Suspected), reportSize)
+	is.Equal(r.Suspected[0], uint64(2*bookSize-1))
+}
+
+func TestMergeNotesOnlyNews(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	b := NewBook()
+	accused := Report{Suspected: []uint64{1}}
+	b.Merge(now, Report{}, accused)
+	is.Equal(b.Verdict(now, 1), Suspected)
+	b.Merge(now, Report{}, Report{Suspected: []uint64{1}, Cleared: []uint64{1}})
+	is.Equal(b.Verdict(now, 1), Cleared)
+	b.Merge(now, accused, accused)
+	is.Equal(b.Verdict(now, 1), Cleared)
+}
--- a/internal/trial/engine/engine.go
+++ b/internal/trial/engine/engine.go
@@ -27,7 +27,7 @@
 	down bool
 	// poison is a body whose run closes all connections; empty for none.
 	poison string
-	// crashes counts the runs of the poison.
+	// crashes counts the runs of the poison; a run ends when the count rises after its start.
 	crashes int
 }
 
@@ -44,6 +44,8 @@
 	Lag time.Duration
 	// Poison is a body that crashes the engine; empty for none.
 	Poison string
+	// Restart is the time after which a crashed engine is back; zero means never.
+	Restart time.Duration
 }
 
 // New returns an idle Engine.
@@ -111,20 +113,29 @@
 	return e.crashes
 }
 
-func (e *Engine) begin(id, body string) (ok bool) {
+// begin starts a run; epoch is the number of crashes before it.
+func (e *Engine) begin(id, body string) (epoch int, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.down {
-		return false
+		return e.crashes, false
 	}
 	e.runs[id]++
 	if e.poison != "" && body == e.poison {
-		e.crashes++
-		e.down = true
-		return false
+		e.crash()
+		return e.crashes, false
 	}
 	e.running++
-	return true
+	return e.crashes, true
+}
+
+// crash takes the engine down until its restart; mu is held.
+func (e *Engine) crash() {
+	e.crashes++
+	e.down = true
+	if e.options.Restart > 0 {
+		time.AfterFunc(e.options.Restart, func() { e.SetDown(false) })
+	}
 }
 
 func (e *Engine) end() {
@@ -133,10 +144,11 @@
 	e.running--
 }
 
-func (e *Engine) failed() bool {
+// failed reports whether the engine went down since a run of an epoch began.
+func (e *Engine) failed(epoch int) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.down
+	return e.down || e.crashes != epoch
 }
 
 // generate streams one token a step.
@@ -145,7 +157,8 @@
 	if err != nil {
 		return
 	}
-	if !e.begin(r.Header.Get("Request-Id"), string(body)) {
+	epoch, ok := e.begin(r.Header.Get("Request-Id"), string(body))
+	if !ok {
 		panic(http.ErrAbortHandler)
 	}
 	defer e.end()
@@ -163,7 +176,7 @@
 			return
 		case <-ticker.C:
 		}
-		if e.failed() {
+		if e.failed(epoch) {
 			panic(http.ErrAbortHandler)
 		}
 		_, _ = io.WriteString(w, token(q.Prompt, i))
--- a/internal/wire/message/convert.go
+++ b/internal/wire/message/convert.go
@@ -13,7 +13,7 @@
 	return &Request{
 		Id: r.ID, Answer: r.Answer, Workspace: r.Workspace, Route: r.Route, Path: r.Path, Key: r.Key, Offset: r.Offset,
 		Remaining: r.Remaining.Microseconds(), Body: r.Body, Attempt: uint32(r.Attempt),
-		Fingerprint: r.Fingerprint, Lookup: r.Lookup,
+		Fingerprint: r.Fingerprint, Lookup: r.Lookup, Alone: r.Alone,
 	}
 }
 
@@ -22,7 +22,7 @@
 	return call.Request{
 		ID: r.Id, Answer: r.Answer, Workspace: r.Workspace, Route: r.Route, Path: r.Path, Key: r.Key, Offset: r.Offset,
 		Remaining: time.Duration(r.Remaining) * time.Microsecond, Body: r.Body, Attempt: int(r.Attempt),
-		Fingerprint: r.Fingerprint, Lookup: r.Lookup,
+		Fingerprint: r.Fingerprint, Lookup: r.Lookup, Alone: r.Alone,
 	}
 }
 
@@ -30,7 +30,7 @@
 func FromChunk(c *call.Chunk) *Chunk {
 	return &Chunk{
 		Id: c.ID, Offset: c.Offset, Data: c.Data, End: c.End, Outcome: uint32(c.Outcome), Reason: c.Reason,
-		Retry: c.Retry.Microseconds(), Status: uint32(c.Status), Media: c.Media,
+		Retry: c.Retry.Microseconds(), Status: uint32(c.Status), Media: c.Media, Crashed: c.Crashed,
 	}
 }
 
@@ -38,7 +38,7 @@
 func (c *Chunk) Call() call.Chunk {
 	return call.Chunk{
 		ID: c.Id, Offset: c.Offset, Data: c.Data, End: c.End, Outcome: call.Outcome(c.Outcome), Reason: c.Reason,
-		Retry: time.Duration(c.Retry) * time.Microsecond, Status: int(c.Status), Media: c.Media,
+		Retry: time.Duration(c.Retry) * time.Microsecond, Status: int(c.Status), Media: c.Media, Crashed: c.Crashed,
 	}
 }
 
@@ -48,6 +48,7 @@
 		Target: h.Target, Incarnation: h.Incarnation, Sequence: h.Sequence, State: string(h.State),
 		Running: uint32(h.Running), Queued: uint32(h.Queued), Width: uint32(h.Width), Revision: h.Revision,
 		Prefixes: h.Prefixes, Suspects: h.Suspects, Successor: h.Successor, Age: h.Age.Microseconds(),
+		Cleared: h.Cleared, Convicted: h.Convicted,
 	}
 }
 
@@ -57,6 +58,7 @@
 		Target: h.Target, Incarnation: h.Incarnation, Sequence: h.Sequence, State: chart.State(h.State),
 		Running: int(h.Running), Queued: int(h.Queued), Width: int(h.Width), Revision: h.Revision,
 		Prefixes: h.Prefixes, Suspects: h.Suspects, Successor: h.Successor,
+		Cleared: h.Cleared, Convicted: h.Convicted,
 		Age: time.Duration(h.Age) * time.Microsecond,
 	}
 }
