--- a/internal/core/entry/entry_request.go
+++ b/internal/core/entry/entry_request.go
@@ -14,6 +14,7 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/request/answer"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/key"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/suspect"
 )
 
 const (
@@ -47,6 +48,8 @@
 	certain bool
 	// barren counts the broken attempts since the newest byte of the answer.
 	barren int
+	// held is set when only the end is left to be told.
+	held *held
 }
 
 // signal moves the exchange along the request chart.
@@ -155,11 +158,15 @@
 
 // conclude acts on the end of an attempt.
 func (c *Core) conclude(now time.Time, x *exchange, k *call.Chunk) []Action {
+	if k.Crashed {
+		return c.crash(now, x, k)
+	}
 	switch k.Outcome {
 	case call.OutcomeComplete:
 		if !x.assembler.Ends(k) {
 			return c.finish(x, http.StatusBadGateway, call.OutcomeFailed, "the answer ends before what was sent of it", 0)
 		}
+		c.book.Note(now, x.request.Fingerprint, suspect.Cleared)
 		return c.complete(x, k)
 	case call.OutcomeNotRun:
 		x.tried[x.target] = true
@@ -168,6 +175,8 @@
 			return c.finish(x, statusOf(k, http.StatusGone), k.Outcome, k.Reason, k.Retry)
 		case x.request.Key != "":
 			return c.closed(now, x, k)
+		case k.Status != 0:
+			return c.finish(x, k.Status, k.Outcome, k.Reason, k.Retry)
 		}
 		return c.attempt(now, x)
 	default:
@@ -214,7 +223,7 @@
 // interrupt acts on an attempt whose connection ended before the answer did.
 func (c *Core) interrupt(now time.Time, b *Broken) []Action {
 	x := c.exchanges[b.ID]
-	if x == nil || b.Attempt != x.request.Attempt {
+	if x == nil || b.Attempt != x.request.Attempt || x.held != nil {
 		return nil
 	}
 	x.signal("break")
--- a/internal/core/slot/slot_viewer.go
+++ b/internal/core/slot/slot_viewer.go
@@ -63,7 +63,7 @@
 	case dropped:
 		k.End, k.Outcome, k.Reason = true, call.OutcomeFailed, "the request ran, but its answer is no longer kept"
 	case ended && v.sent == j.buffer.Size():
-		k.End, k.Outcome, k.Reason = true, j.outcome, j.reason
+		k.End, k.Outcome, k.Reason, k.Crashed = true, j.outcome, j.reason, j.crashed
 	}
 	return []Action{{Chunk: &Chunk{Stream: v.stream, Chunk: k}}}
 }
--- a/internal/process/entryd/entryd.go
+++ b/internal/process/entryd/entryd.go
@@ -125,11 +125,33 @@
 		p.Log.Warn("stop limit", "cut", p.status().Requests)
 		return nil
 	}
+	p.awaitReplies(limit.C)
 	// The platform's balancer needs this time to see that the entry is not ready.
 	<-drain.C
 	return nil
 }
 
+// awaitReplies waits until the last bytes of all answers were written, or for the limit.
+func (p *Process) awaitReplies(limit <-chan time.Time) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for p.open() > 0 {
+		select {
+		case <-limit:
+			p.Log.Warn("stop limit", "cut", p.open())
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// open returns the number of replies that are not written to their end.
+func (p *Process) open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.replies)
+}
+
 func (p *Process) probes() node.Probes {
 	return node.Probes{
 		Ready: func() bool {
