--- /dev/null
+++ b/internal/site/power/ledger_test.go
@@ -0,0 +1,161 @@
+package power
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// testLimits make loans short, so that many come and go in one schedule.
+var testLimits = Limits{
+	Term: 2 * time.Second, Work: 3 * time.Second, Slack: 200 * time.Millisecond,
+	Pause: 500 * time.Millisecond, Hold: time.Second, Lend: 0.75, Retry: 60 * time.Millisecond,
+}
+
+const (
+	schedules = 100
+	steps     = 1500
+)
+
+// TestCapHolds runs seeded schedules of loss, repetition, delay, cuts, freezes, restarts and lowered shares.
+func TestCapHolds(t *testing.T) {
+	lent := 0
+	for seed := range uint64(schedules) {
+		s := newFakeSite(seed, []int64{600, 600, 600, 300}, 100, 100, 8, testLimits)
+		s.loss, s.repeat, s.late = s.random.IntN(30), s.random.IntN(30), s.random.IntN(10)
+		cut := 0
+		s.reachable = func(from, to int) bool { return cut == 0 || (from < 2) == (to < 2) }
+		lowered := time.Time{}
+		for i := range steps {
+			if i == steps/2 && seed%4 == 0 {
+				lowered = s.lower()
+			}
+			s.fault(&cut)
+			s.step()
+			for _, n := range s.nodes {
+				if n.ledger.usable(s.now) > 0 {
+					lent++
+				}
+			}
+			reaction := testLimits.Hold + testLimits.horizon() + testLimits.Work
+			if s.now.Sub(lowered) > reaction && s.draw() > s.cap {
+				t.Fatalf("seed %d at %v: the site draws %d of %d watts", seed, s.now.Sub(time.Unix(0, 0)), s.draw(), s.cap)
+			}
+		}
+	}
+	is := is.New(t)
+	is.True(lent > schedules) // the schedules must bring loans about
+}
+
+// lower takes a third off the cap of the site, and returns when.
+func (s *fakeSite) lower() time.Time {
+	for _, n := range s.nodes {
+		s.cap -= 100
+		n.plan.Share -= 100
+		if !n.frozen {
+			n.ledger.Configure(s.now, n.plan)
+		}
+	}
+	return s.now
+}
+
+// fault brings about at most one fault, and demand that moves between the targets.
+func (s *fakeSite) fault(cut *int) {
+	i := s.random.IntN(len(s.nodes))
+	n := s.nodes[i]
+	switch s.random.IntN(300) {
+	case 0:
+		n.frozen = true
+	case 1, 2:
+		if n.frozen {
+			n.frozen = false
+			n.ledger.Configure(s.now, n.plan)
+		}
+	case 3:
+		s.restart(i)
+	case 4, 5:
+		*cut = 1 - *cut
+	}
+	if i == int(s.now.Unix()/4)%len(s.nodes) && len(n.queue) < 2*n.width {
+		lasts := time.Duration(s.random.IntN(4000)) * time.Millisecond
+		n.queue = append(n.queue, job{arrived: s.now, lasts: lasts, priority: s.random.IntN(3)})
+	}
+}
+
+// TestLoansComeBack checks that all power returns to its owners once faults and demand have ended.
+func TestLoansComeBack(t *testing.T) {
+	for seed := range uint64(50) {
+		is := is.New(t)
+		s := newFakeSite(seed, []int64{600, 600, 600}, 100, 100, 8, testLimits)
+		s.loss = 30
+		cut := 0
+		for range steps {
+			s.fault(&cut)
+			s.step()
+		}
+		s.loss = 0
+		for _, n := range s.nodes {
+			n.frozen, n.queue = false, nil
+		}
+		for range int(2 * testLimits.horizon() / tick) {
+			s.step()
+		}
+		for _, n := range s.nodes {
+			is.Equal(n.ledger.Status(s.now), Status{Share: n.plan.Share})
+		}
+	}
+}
+
+// TestBorrowerUsesLoan checks that a loaded target gets power from an idle one, and gives it back.
+func TestBorrowerUsesLoan(t *testing.T) {
+	is := is.New(t)
+	s := newFakeSite(1, []int64{500, 500}, 100, 100, 8, testLimits)
+	for range 200 {
+		s.step()
+	}
+	for range 7 {
+		s.nodes[0].queue = append(s.nodes[0].queue, job{lasts: time.Second})
+	}
+	most := 0
+	for range 60 {
+		s.step()
+		most = max(most, len(s.nodes[0].work))
+	}
+	is.Equal(most, 7) // four under its own share and three under the loan
+	for range 100 {
+		s.step()
+	}
+	is.Equal(s.nodes[1].ledger.Status(s.now).Lent, int64(0))
+}
+
+// TestRestartWaits checks that a restarted lender does not use what it may have lent.
+func TestRestartWaits(t *testing.T) {
+	is := is.New(t)
+	s := newFakeSite(1, []int64{500, 500}, 100, 100, 8, testLimits)
+	s.reachable = func(int, int) bool { return false }
+	for range 60 {
+		s.step()
+	}
+	is.Equal(s.nodes[0].ledger.Width(s.now, 8), 1)
+	for range int(testLimits.horizon() / tick) {
+		s.step()
+	}
+	is.Equal(s.nodes[0].ledger.Width(s.now, 8), 4)
+}
+
+// TestRaiseWaits checks that a higher share is used only after all slots know of it.
+func TestRaiseWaits(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	l := NewLedger(now, Options{Limits: testLimits})
+	l.Configure(now, Plan{Share: 500, Idle: 100, Draw: 100})
+	now = now.Add(testLimits.horizon())
+	l.Configure(now, Plan{Share: 800, Idle: 100, Draw: 100})
+	is.Equal(l.Width(now, 8), 4)
+	for range int((testLimits.Hold + testLimits.Work) / tick) {
+		now = now.Add(tick)
+		l.advance(now)
+	}
+	is.Equal(l.Width(now, 8), 7)
+}
