--- a/internal/core/slot/slot.go
+++ b/internal/core/slot/slot.go
@@ -11,6 +11,7 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/membership"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/record"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/suspect"
+	"github.com/dragonflydeal/dragonflydeal/internal/site/power"
 )
 
 //go:embed job.chart
@@ -55,6 +56,7 @@
 	// running is the number of jobs at the engine; it is at most the target's width.
 	running int
 	crashes
+	supply
 	// limits bound what is kept.
 	limits Limits
 	// announced is the time from which the stop was announced to the entries.
@@ -111,6 +113,7 @@
 		active:      map[string]*job{},
 		records:     record.NewBook(record.Options{Home: o.Name, Incarnation: incarnation, Limit: o.Limits.Records}),
 		crashes:     crashes{book: suspect.NewBook()},
+		supply:      supply{random: o.Random},
 		limits:      o.Limits,
 	}
 }
@@ -130,6 +133,8 @@
 		return c.result(now, e.Result)
 	case e.Report != nil:
 		return c.report(now, e.Report)
+	case e.Message != nil:
+		return c.hear(now, e.Message)
 	case e.Configuration != nil:
 		return c.configure(now, e.Configuration)
 	case e.Stop != nil:
@@ -169,7 +174,7 @@
 		State:       c.state,
 		Running:     c.running,
 		Queued:      len(c.queue),
-		Width:       c.target.Width,
+		Width:       c.width(now),
 		Revision:    c.Revision(),
 		Prefixes:    c.prefixes,
 		Suspects:    verdicts.Suspected,
@@ -194,13 +199,15 @@
 	Queued int `json:"queued"`
 	// Known is the number of requests that are kept, finished ones included.
 	Known int `json:"known"`
+	// Power is the target's part of the site's cap, or nil when nothing is limited.
+	Power *power.Status `json:"power,omitempty"`
 }
 
 // Status returns a summary for operators.
-func (c *Core) Status() Status {
+func (c *Core) Status(now time.Time) Status {
 	return Status{
 		Name: c.name, Incarnation: c.incarnation, State: c.state, Revision: c.Revision(),
-		Running: c.running, Queued: len(c.queue), Known: len(c.jobs),
+		Running: c.running, Queued: len(c.queue), Known: len(c.jobs), Power: c.powerStatus(now),
 	}
 }
 
@@ -223,6 +230,7 @@
 	if t, ok := next.Target(c.name); ok {
 		c.target = t
 	}
+	c.plan(now)
 	return append(c.open(), c.admit(now)...)
 }
 
@@ -230,6 +238,7 @@
 func (c *Core) report(now time.Time, r *Report) []Action {
 	c.alive = r.Alive && c.revived()
 	c.prefixes = r.Prefixes
+	c.reported = r.Running
 	if !c.alive && c.state == membership.StateServing {
 		return c.signal("lost")
 	}
@@ -267,5 +276,6 @@
 func (c *Core) tick(now time.Time) []Action {
 	actions := c.expire(now)
 	actions = append(actions, c.admit(now)...)
+	actions = append(actions, c.lend(now)...)
 	return append(actions, c.settle(now)...)
 }
--- a/internal/core/slot/slot_admission.go
+++ b/internal/core/slot/slot_admission.go
@@ -34,7 +34,7 @@
 	for len(c.queue) > 0 && c.running < c.target.Width && c.alive {
 		id := c.queue[0]
 		j := c.jobs[id]
-		if !c.fits(j) {
+		if !c.fits(j) || !c.powered(now, j) {
 			break
 		}
 		c.queue = c.queue[1:]
--- a/internal/process/slotd/slotd.go
+++ b/internal/process/slotd/slotd.go
@@ -129,7 +129,7 @@
 func (p *Process) status() slot.Status {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.core.Status()
+	return p.core.Status(p.Now())
 }
 
 func (p *Process) accept(c *configuration.Configuration) {
--- a/internal/process/slotd/slotd_engine.go
+++ b/internal/process/slotd/slotd_engine.go
@@ -135,6 +135,7 @@
 	}
 	request.ContentLength = int64(len(r.Request.Body))
 	request.Header.Set("Request-Id", r.Request.ID)
+	request.Header.Set("Request-Timeout", r.Deadline.Sub(p.Now()).String())
 	request.Header.Set("Workspace", r.Request.Workspace)
 	if r.Request.Key != "" {
 		request.Header.Set("Idempotency-Key", r.Request.Key)
--- a/internal/proof/failure/site_test.go
+++ b/internal/proof/failure/site_test.go
@@ -57,6 +57,8 @@
 	restart time.Duration
 	// change edits the configuration before it is published, or is nil.
 	change func(*configuration.Configuration)
+	// wrap adds to the handler of a target's stand-in, or is nil.
+	wrap func(target string, h http.Handler) http.Handler
 	// settings edits the settings of each process, or is nil.
 	settings func(*settings.Settings)
 }
@@ -182,6 +184,9 @@
 }
 
 func (s *site) addTarget(centre byte, name string, kind configuration.Kind, pool string, handler http.Handler) {
+	if s.options.wrap != nil {
+		handler = s.options.wrap(name, handler)
+	}
 	server := httptest.NewServer(handler)
 	s.t.Cleanup(server.Close)
 	p := s.addProcess("slot", name, centre)
--- /dev/null
+++ b/internal/site/power/goodput_test.go
@@ -0,0 +1,157 @@
+package power
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// allocator is a way to divide a site's cap.
+type allocator string
+
+const (
+	// allocatorFixed gives each target its share for good.
+	allocatorFixed allocator = "fixed"
+	// allocatorLoans is the ledger.
+	allocatorLoans allocator = "loans"
+	// allocatorPerfect knows all targets at once and divides the cap anew at each start.
+	allocatorPerfect allocator = "perfect"
+)
+
+// patience is how long a request waits for its start before it is refused.
+const patience = time.Second
+
+// goodput is what a run of one allocator gave.
+type goodput struct {
+	// offered and started count requests, by priority.
+	offered, started [3]int
+	// overshoot is the most that the site drew above its cap, in watts.
+	overshoot int64
+	// idle is the energy that was free while a request was refused, in watt-seconds.
+	idle float64
+}
+
+// runSite offers a shifting load to a site of five targets for five minutes of its time.
+func runSite(seed uint64, a allocator, load float64) (g goodput) {
+	s := newFakeSite(seed, []int64{500, 500, 500, 500, 500}, 12, DefaultLimits)
+	for _, n := range s.nodes {
+		if a == allocatorFixed {
+			n.plan.Peers = nil
+			n.ledger.Configure(s.now, n.plan)
+		}
+		n.ledger.recovery = s.now
+	}
+	// The demand has a source of chance of its own, so that all allocators see the same.
+	demand := rand.New(rand.NewPCG(seed, 3))
+	s.manual = a == allocatorPerfect
+	for i := range int(5 * time.Minute / tick) {
+		s.offer(demand, &g, load, i)
+		s.step()
+		if a == allocatorPerfect {
+			s.admitPerfect()
+		}
+		s.refuse(&g)
+		g.overshoot = max(g.overshoot, s.draw()-s.cap)
+	}
+	for _, n := range s.nodes {
+		for priority, count := range n.done {
+			g.started[priority] += count
+		}
+	}
+	return g
+}
+
+// offer adds requests. Which targets are popular shifts every twenty seconds.
+func (s *fakeSite) offer(random *rand.Rand, g *goodput, load float64, step int) {
+	// The cap allows (cap - idle) / draw requests at once, each of 1.5 seconds on average.
+	rate := load * float64(s.cap-int64(len(s.nodes))*fakeIdle) / fakeDraw / 1.5 * tick.Seconds()
+	popular := step / int(20*time.Second/tick)
+	for rate > 0 {
+		if random.Float64() < rate {
+			j := job{arrived: s.now, priority: random.IntN(3)}
+			j.lasts = time.Duration(min(5, 1.5*random.ExpFloat64()) * float64(time.Second))
+			to := random.IntN(len(s.nodes))
+			if random.IntN(10) < 6 {
+				to = (popular*3 + random.IntN(2)) % len(s.nodes)
+			}
+			s.nodes[to].queue = append(s.nodes[to].queue, j)
+			g.offered[j.priority]++
+		}
+		rate--
+	}
+}
+
+// admitPerfect starts waiting requests of all targets while the whole site is under its cap.
+func (s *fakeSite) admitPerfect() {
+	for priority := 2; priority >= 0; priority-- {
+		for _, n := range s.nodes {
+			for i := 0; i < len(n.queue); i++ {
+				if n.queue[i].priority != priority || len(n.work) >= n.width || s.draw()+fakeDraw > s.cap {
+					continue
+				}
+				n.work = append(n.work, s.now.Add(n.queue[i].lasts))
+				n.done[priority]++
+				n.queue = slices.Delete(n.queue, i, i+1)
+				i--
+			}
+		}
+	}
+}
+
+// refuse drops the requests that have waited too long.
+func (s *fakeSite) refuse(g *goodput) {
+	refused := false
+	for _, n := range s.nodes {
+		before := len(n.queue)
+		n.queue = slices.DeleteFunc(n.queue, func(j job) bool { return s.now.Sub(j.arrived) >= patience })
+		refused = refused || len(n.queue) < before
+	}
+	if refused {
+		g.idle += float64(max(0, s.cap-s.draw())) * tick.Seconds()
+	}
+}
+
+// BenchmarkGoodput compares the ledger with fixed shares and with perfect knowledge.
+func BenchmarkGoodput(b *testing.B) {
+	loads := []struct {
+		name string
+		load float64
+	}{{"load=0.6", 0.6}, {"load=0.9", 0.9}, {"load=1.2", 1.2}, {"load=2.0", 2}}
+	for _, v := range loads {
+		b.Run(v.name, func(b *testing.B) {
+			for range b.N {
+				report(b, v.load)
+			}
+		})
+	}
+}
+
+func report(b *testing.B, load float64) {
+	const seeds = 5
+	totals := map[allocator]*[5]float64{allocatorFixed: {}, allocatorLoans: {}, allocatorPerfect: {}}
+	overshoot := int64(math.MinInt64)
+	for seed := range uint64(seeds) {
+		for a, sum := range totals {
+			g := runSite(seed, a, load)
+			for p := range 3 {
+				sum[p] += float64(g.started[p]) / float64(g.offered[p]) / seeds
+				sum[3] += float64(g.started[p])
+			}
+			sum[4] += g.idle / seeds
+			if a == allocatorLoans {
+				overshoot = max(overshoot, g.overshoot)
+			}
+		}
+	}
+	perfect := totals[allocatorPerfect][3]
+	b.ReportMetric(totals[allocatorFixed][3]/perfect, "fixed/perfect")
+	b.ReportMetric(totals[allocatorLoans][3]/perfect, "loans/perfect")
+	b.ReportMetric(totals[allocatorFixed][2], "fixed-high")
+	b.ReportMetric(totals[allocatorLoans][2], "loans-high")
+	b.ReportMetric(totals[allocatorPerfect][2], "perfect-high")
+	b.ReportMetric(totals[allocatorFixed][4], "fixed-idle-Ws")
+	b.ReportMetric(totals[allocatorLoans][4], "loans-idle-Ws")
+	b.ReportMetric(float64(max(overshoot, 0)), "overshoot-W")
+}
--- a/internal/site/power/ledger.go
+++ b/internal/site/power/ledger.go
@@ -110,6 +110,8 @@
 	closed time.Time
 	// recovery is the time until which earlier loans of a restarted slot may be out.
 	recovery time.Time
+	// inherited is the time until which work that an earlier process started may run.
+	inherited time.Time
 	// accounts holds the peers that answered the hello of a restarted slot.
 	accounts map[string]bool
 }
@@ -172,16 +174,17 @@
 // NewLedger returns the ledger of a slot that was just started, maybe not for the first time.
 func NewLedger(now time.Time, o Options) *Ledger {
 	return &Ledger{
-		limits:   o.Limits,
-		random:   o.Random,
-		lent:     map[claim]*lent{},
-		settled:  map[claim]time.Time{},
-		loans:    map[uint64]*loan{},
-		peers:    map[string]*peer{},
-		accounts: map[string]bool{},
-		seen:     now,
-		closed:   now.Add(o.Limits.Pause),
-		recovery: now.Add(o.Limits.horizon()),
+		limits:    o.Limits,
+		random:    o.Random,
+		lent:      map[claim]*lent{},
+		settled:   map[claim]time.Time{},
+		loans:     map[uint64]*loan{},
+		peers:     map[string]*peer{},
+		accounts:  map[string]bool{},
+		seen:      now,
+		closed:    now.Add(o.Limits.Pause),
+		recovery:  now.Add(o.Limits.horizon()),
+		inherited: now.Add(o.Limits.horizon()),
 	}
 }
 
@@ -209,6 +212,11 @@
 	return l.plan.Share > 0
 }
 
+// Recovering reports whether work of an earlier process may still run at the engine.
+func (l *Ledger) Recovering(now time.Time) bool {
+	return now.Before(l.inherited)
+}
+
 // advance brings the ledger to the present time.
 func (l *Ledger) advance(now time.Time) {
 	if now.Sub(l.seen) > l.limits.Pause {
--- a/internal/site/power/ledger_test.go
+++ b/internal/site/power/ledger_test.go
@@ -16,14 +16,16 @@
 const (
 	schedules = 100
 	steps     = 1500
+	// longest is that of a request in milliseconds; some are too long for a loan.
+	longest = 5000
 )
 
 // TestCapHolds runs seeded schedules of loss, repetition, delay, cuts, freezes, restarts and lowered shares.
 func TestCapHolds(t *testing.T) {
 	lent := 0
 	for seed := range uint64(schedules) {
-		s := newFakeSite(seed, []int64{600, 600, 600, 300}, 100, 100, 8, testLimits)
-		s.loss, s.repeat, s.late = s.random.IntN(30), s.random.IntN(30), s.random.IntN(10)
+		s := newFakeSite(seed, []int64{600, 600, 600, 300}, 8, testLimits)
+		s.loss, s.repeat, s.late = s.random.IntN(30), s.random.IntN(30), s.random.IntN(30)
 		cut := 0
 		s.reachable = func(from, to int) bool { return cut == 0 || (from < 2) == (to < 2) }
 		lowered := time.Time{}
@@ -38,7 +40,7 @@
 					lent++
 				}
 			}
-			reaction := testLimits.Hold + testLimits.horizon() + testLimits.Work
+			reaction := testLimits.Hold + testLimits.horizon() + longest*time.Millisecond
 			if s.now.Sub(lowered) > reaction && s.draw() > s.cap {
 				t.Fatalf("seed %d at %v: the site draws %d of %d watts", seed, s.now.Sub(time.Unix(0, 0)), s.draw(), s.cap)
 			}
@@ -78,7 +80,7 @@
 		*cut = 1 - *cut
 	}
 	if i == int(s.now.Unix()/4)%len(s.nodes) && len(n.queue) < 2*n.width {
-		lasts := time.Duration(s.random.IntN(4000)) * time.Millisecond
+		lasts := time.Duration(s.random.IntN(longest)) * time.Millisecond
 		n.queue = append(n.queue, job{arrived: s.now, lasts: lasts, priority: s.random.IntN(3)})
 	}
 }
@@ -87,7 +89,7 @@
 func TestLoansComeBack(t *testing.T) {
 	for seed := range uint64(50) {
 		is := is.New(t)
-		s := newFakeSite(seed, []int64{600, 600, 600}, 100, 100, 8, testLimits)
+		s := newFakeSite(seed, []int64{600, 600, 600}, 8, testLimits)
 		s.loss = 30
 		cut := 0
 		for range steps {
@@ -110,7 +112,7 @@
 // TestBorrowerUsesLoan checks that a loaded target gets power from an idle one, and gives it back.
 func TestBorrowerUsesLoan(t *testing.T) {
 	is := is.New(t)
-	s := newFakeSite(1, []int64{500, 500}, 100, 100, 8, testLimits)
+	s := newFakeSite(1, []int64{500, 500}, 8, testLimits)
 	for range 200 {
 		s.step()
 	}
@@ -132,7 +134,7 @@
 // TestRestartWaits checks that a restarted lender does not use what it may have lent.
 func TestRestartWaits(t *testing.T) {
 	is := is.New(t)
-	s := newFakeSite(1, []int64{500, 500}, 100, 100, 8, testLimits)
+	s := newFakeSite(1, []int64{500, 500}, 8, testLimits)
 	s.reachable = func(int, int) bool { return false }
 	for range 60 {
 		s.step()
--- a/internal/site/power/site_test.go
+++ b/internal/site/power/site_test.go
@@ -7,6 +7,12 @@
 	"time"
 )
 
+// fakeIdle and fakeDraw are in watts.
+const (
+	fakeIdle = 100
+	fakeDraw = 100
+)
+
 // tick is the time between two steps of the fake site.
 const tick = 20 * time.Millisecond
 
@@ -20,6 +26,8 @@
 	packets []packet
 	// loss, repeat and late are chances in percent for each message.
 	loss, repeat, late int
+	// manual leaves the start of work to the driver of the site.
+	manual bool
 	// reachable tells whether a message passes now, or is nil.
 	reachable func(from, to int) bool
 }
@@ -45,8 +53,6 @@
 	queue []job
 	// done counts the requests started, by priority.
 	done map[int]int
-	// late counts the requests whose start came too late.
-	late int
 }
 
 type job struct {
@@ -55,11 +61,11 @@
 	priority int
 }
 
-func newFakeSite(seed uint64, shares []int64, idle, draw int64, width int, limits Limits) *fakeSite {
+func newFakeSite(seed uint64, shares []int64, width int, limits Limits) *fakeSite {
 	s := &fakeSite{random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(0, 0), limits: limits}
 	for _, share := range shares {
 		s.cap += share
-		s.nodes = append(s.nodes, &fakeNode{width: width, plan: Plan{Share: share, Idle: idle, Draw: draw}, done: map[int]int{}})
+		s.nodes = append(s.nodes, &fakeNode{width: width, plan: Plan{Share: share, Idle: fakeIdle, Draw: fakeDraw}, done: map[int]int{}})
 	}
 	for i := range s.nodes {
 		for j := range s.nodes {
@@ -124,8 +130,10 @@
 		if n.frozen {
 			continue
 		}
-		s.send(i, n.ledger.Tick(s.now, s.load(n)))
-		s.admit(n)
+		if !s.manual {
+			s.send(i, n.ledger.Tick(s.now, s.load(n)))
+			s.admit(n)
+		}
 	}
 }
 
--- a/internal/wire/message/convert_peer.go
+++ b/internal/wire/message/convert_peer.go
@@ -27,6 +27,7 @@
 func FromLoan(m *power.Message) *Loan {
 	return &Loan{
 		Kind: string(m.Kind), Id: m.ID, Watts: m.Watts, Term: m.Term.Microseconds(), Priority: uint32(max(m.Priority, 0)),
+		Sequence: m.Sequence, Work: m.Work.Microseconds(),
 	}
 }
 
@@ -35,5 +36,6 @@
 	return &power.Message{
 		Kind: power.Kind(m.Kind), ID: m.Id, Watts: m.Watts,
 		Term: time.Duration(m.Term) * time.Microsecond, Priority: int(m.Priority),
+		Sequence: m.Sequence, Work: time.Duration(m.Work) * time.Microsecond,
 	}
 }
