Never say "not run" for a key that an earlier copy may have used

Cause: an entry that refused at the door (stopping, no route, faulty header) said "not run" whatever key the request had, though a copy through another entry had run. Test before: TestRefusedResendIsUnknown/stopping,_key: not-run != unknown. Change: refusals of a request with a key of its workspace are "unknown"; only the home says "not run". The trial counts a refusal at the door (503) as refused.

--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -67,7 +67,7 @@
 func (c *Core) Handle(now time.Time, e Event) []Action {
 	switch {
 	case e.Arrival != nil:
-		return c.arrive(now, e.Arrival)
+		return honest(e.Arrival, c.arrive(now, e.Arrival))
 	case e.Chunk != nil:
 		return c.receive(now, e.Chunk)
 	case e.Broken != nil:
--- a/internal/process/entryd/entryd_callers.go
+++ b/internal/process/entryd/entryd_callers.go
@@ -16,6 +16,7 @@
 	httptransport "github.com/go-kit/kit/transport/http"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/core/entry"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
 )
 
 // Headers of the callers' interface.
@@ -32,6 +33,8 @@
 type inputError struct {
 	status int
 	reason string
+	// keyed tells that the request had a key, so that an earlier copy may have run.
+	keyed bool
 }
 
 // Error implements the error interface.
@@ -39,6 +42,10 @@
 	return e.reason
 }
 
+func refusal(status int, reason string) *inputError {
+	return &inputError{status: status, reason: reason}
+}
+
 // callers returns the handler of the callers' address.
 func (p *Process) callers() http.Handler {
 	var serve endpoint.Endpoint = func(ctx context.Context, request any) (any, error) {
@@ -53,19 +60,32 @@
 
 // decode reads a caller's request.
 func (p *Process) decode(_ context.Context, r *http.Request) (any, error) {
-	a := &entry.Arrival{Workspace: r.Header.Get(headerWorkspace), Path: r.URL.Path, Key: r.Header.Get(headerKey)}
+	a, err := read(r)
+	var input *inputError
+	if errors.As(err, &input) {
+		input.keyed = r.Header.Get(headerKey) != ""
+	}
+	if err != nil {
+		return nil, err
+	}
+	return a, nil
+}
+
+// read checks the form of a caller's request.
+func read(r *http.Request) (a *entry.Arrival, err error) {
+	a = &entry.Arrival{Workspace: r.Header.Get(headerWorkspace), Path: r.URL.Path, Key: r.Header.Get(headerKey)}
 	if r.Method != http.MethodPost {
-		return nil, &inputError{http.StatusMethodNotAllowed, "use POST"}
+		return nil, refusal(http.StatusMethodNotAllowed, "use POST")
 	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		return nil, &inputError{http.StatusRequestEntityTooLarge, "the body is too large or was cut off"}
+		return nil, refusal(http.StatusRequestEntityTooLarge, "the body is too large or was cut off")
 	}
 	a.Body = body
 	if text := r.Header.Get(headerTimeout); text != "" {
 		a.Timeout, err = time.ParseDuration(text)
 		if err != nil || a.Timeout <= 0 {
-			return nil, &inputError{http.StatusBadRequest, headerTimeout + " is not a duration above zero such as 1.5s"}
+			return nil, refusal(http.StatusBadRequest, headerTimeout+" is not a duration above zero such as 1.5s")
 		}
 	}
 	a.ID = newID()
@@ -92,7 +112,7 @@
 // resume reads an event ID into an arrival.
 func resume(a *entry.Arrival, text string) error {
 	parts := strings.Split(text, "/")
-	bad := &inputError{http.StatusBadRequest, headerResume + " is not an event ID of this system"}
+	bad := refusal(http.StatusBadRequest, headerResume+" is not an event ID of this system")
 	if len(parts) != 3 || len(parts[0]) != hex.EncodedLen(idSize) || parts[1] == "" {
 		return bad
 	}
@@ -149,10 +169,13 @@
 }
 
 func encodeError(_ context.Context, err error, w http.ResponseWriter) {
-	status := http.StatusBadRequest
+	status, outcome := http.StatusBadRequest, call.OutcomeNotRun
 	var input *inputError
 	if errors.As(err, &input) {
 		status = input.status
+		if input.keyed {
+			outcome = call.OutcomeUnknown
+		}
 	}
-	writeProblem(w, problem{Status: status, Outcome: "not-run", Detail: fmt.Sprint(err)})
+	writeProblem(w, problem{Status: status, Outcome: outcome.String(), Detail: fmt.Sprint(err)})
 }
--- a/internal/trial/site/ledger.go
+++ b/internal/trial/site/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -18,7 +19,7 @@
 // ledger collects what callers saw. It is safe for concurrent use.
 type ledger struct {
 	mu sync.Mutex
-	// complete, refused and errors count the answers by their ends.
+	// complete, refused and errors count the answers by their ends; an entry that is not ready refuses.
 	complete, refused, errors int
 	// wrong counts whole answers that differ from the expected bytes.
 	wrong int
@@ -100,7 +101,7 @@
 		l.complete++
 		l.served[centre]++
 		l.measure(r)
-	case r.problem.Outcome == "not-run":
+	case r.problem.Outcome == "not-run", r.problem.Outcome == "unknown" && r.status == http.StatusServiceUnavailable:
 		l.refused++
 	default:
 		l.errors++
--- a/internal/trial/site/trial.go
+++ b/internal/trial/site/trial.go
@@ -157,7 +157,7 @@
 	out := []Measure{
 		{"answers completed", float64(l.complete), "answers"},
 		{"answers completed, rate", float64(l.complete) / t.served.Seconds(), "answers/s"},
-		{"refused as \"not run\"", float64(l.refused), "requests"},
+		{"refused", float64(l.refused), "requests"},
 		{"refused, share", 100 * float64(l.refused) / float64(all), "%"},
 		{"visible errors during faults", float64(l.errors - l.cutOff), "requests"},
 	}
