--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -34,6 +34,8 @@
 	exchanges map[string]*exchange
 	// flight counts this entry's requests in progress by target.
 	flight map[string]int
+	// heirs holds the successors of homes that left by the homes' incarnation.
+	heirs map[uint64]heir
 	// stopping is set by the stop event and never cleared.
 	stopping bool
 }
@@ -60,6 +62,7 @@
 		random:    o.Random,
 		exchanges: map[string]*exchange{},
 		flight:    map[string]int{},
+		heirs:     map[uint64]heir{},
 	}
 }
 
@@ -171,6 +174,7 @@
 	if !c.view.Accept(now, h) {
 		return nil
 	}
+	c.inherit(now, &h)
 	if known && before.State == h.State && before.Incarnation == h.Incarnation {
 		return nil
 	}
--- a/internal/process/entryd/entryd_callers.go
+++ b/internal/process/entryd/entryd_callers.go
@@ -17,6 +17,7 @@
 
 	"github.com/dragonflydeal/dragonflydeal/internal/core/entry"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/key"
 )
 
 // Headers of the callers' interface.
@@ -33,8 +34,8 @@
 type inputError struct {
 	status int
 	reason string
-	// keyed tells that the request had a key, so that an earlier copy may have run.
-	keyed bool
+	// repeated is set when an earlier copy of the request may have run.
+	repeated bool
 }
 
 // Error implements the error interface.
@@ -42,10 +43,6 @@
 	return e.reason
 }
 
-func refusal(status int, reason string) *inputError {
-	return &inputError{status: status, reason: reason}
-}
-
 // callers returns the handler of the callers' address.
 func (p *Process) callers() http.Handler {
 	var serve endpoint.Endpoint = func(ctx context.Context, request any) (any, error) {
@@ -59,33 +56,35 @@
 }
 
 // decode reads a caller's request.
-func (p *Process) decode(_ context.Context, r *http.Request) (any, error) {
-	a, err := read(r)
+func (p *Process) decode(ctx context.Context, r *http.Request) (any, error) {
+	a, err := p.arrival(ctx, r)
 	var input *inputError
 	if errors.As(err, &input) {
-		input.keyed = r.Header.Get(headerKey) != ""
+		// A caller with a key or the name of an answer has sent its request before, and that one may have run.
+		answer, _, _ := strings.Cut(r.Header.Get(headerResume), "/")
+		input.repeated = key.Ours(r.Header.Get(headerKey)) || resumable(answer)
 	}
-	if err != nil {
-		return nil, err
-	}
-	return a, nil
+	return a, err
 }
 
-// read checks the form of a caller's request.
-func read(r *http.Request) (a *entry.Arrival, err error) {
-	a = &entry.Arrival{Workspace: r.Header.Get(headerWorkspace), Path: r.URL.Path, Key: r.Header.Get(headerKey)}
+// arrival reads a caller's request into an event.
+func (p *Process) arrival(_ context.Context, r *http.Request) (any, error) {
+	a := &entry.Arrival{Workspace: r.Header.Get(headerWorkspace), Path: r.URL.Path, Key: r.Header.Get(headerKey)}
+	if !r.ProtoAtLeast(1, 1) {
+		return nil, &inputError{status: http.StatusHTTPVersionNotSupported, reason: "HTTP/1.0 cannot show that an answer is not whole; use HTTP/1.1"}
+	}
 	if r.Method != http.MethodPost {
-		return nil, refusal(http.StatusMethodNotAllowed, "use POST")
+		return nil, &inputError{status: http.StatusMethodNotAllowed, reason: "use POST"}
 	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		return nil, refusal(http.StatusRequestEntityTooLarge, "the body is too large or was cut off")
+		return nil, &inputError{status: http.StatusRequestEntityTooLarge, reason: "the body is too large or was cut off"}
 	}
 	a.Body = body
 	if text := r.Header.Get(headerTimeout); text != "" {
 		a.Timeout, err = time.ParseDuration(text)
 		if err != nil || a.Timeout <= 0 {
-			return nil, refusal(http.StatusBadRequest, headerTimeout+" is not a duration above zero such as 1.5s")
+			return nil, &inputError{status: http.StatusBadRequest, reason: headerTimeout + " is not a duration above zero such as 1.5s"}
 		}
 	}
 	a.ID = newID()
@@ -111,19 +110,29 @@
 
 // resume reads an event ID into an arrival.
 func resume(a *entry.Arrival, text string) error {
-	parts := strings.Split(text, "/")
-	bad := refusal(http.StatusBadRequest, headerResume+" is not an event ID of this system")
-	if len(parts) != 3 || len(parts[0]) != hex.EncodedLen(idSize) || parts[1] == "" {
+	answer, rest, _ := strings.Cut(text, "/")
+	bad := &inputError{status: http.StatusBadRequest, reason: headerResume + " is not an event ID of this system"}
+	last := strings.LastIndexByte(rest, '/')
+	if last <= 0 || !resumable(answer) {
 		return bad
 	}
-	offset, err := strconv.ParseInt(parts[2], 10, 64)
+	offset, err := strconv.ParseInt(rest[last+1:], 10, 64)
 	if err != nil || offset < 0 {
 		return bad
 	}
-	a.Answer, a.Home, a.Offset = parts[0], parts[1], offset
+	a.Answer, a.Home, a.Offset = answer, rest[:last], offset
 	return nil
 }
 
+// resumable reports whether text can name an answer: by a request ID or by an idempotency key.
+func resumable(text string) bool {
+	if _, err := key.Parse(text); err == nil {
+		return true
+	}
+	id, err := hex.DecodeString(text)
+	return err == nil && len(id) == idSize
+}
+
 // submit hands a request to the core and returns its reply.
 func (p *Process) submit(ctx context.Context, a *entry.Arrival) *reply {
 	r := newReply()
@@ -153,11 +162,13 @@
 	r := response.(*reply)
 	defer p.forget(r.id)
 	defer r.close()
-	out := &writer{w: w}
+	out := newWriter(w)
+	defer out.release()
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			// A return would end the answer as if it were whole.
+			panic(http.ErrAbortHandler)
 		case <-r.wake:
 		}
 		for _, v := range r.take() {
@@ -173,7 +184,7 @@
 	var input *inputError
 	if errors.As(err, &input) {
 		status = input.status
-		if input.keyed {
+		if input.repeated {
 			outcome = call.OutcomeUnknown
 		}
 	}
