--- a/internal/operator/commands/commands.go
+++ b/internal/operator/commands/commands.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os/signal"
+	"runtime"
 	"syscall"
 
 	"github.com/alexflint/go-arg"
@@ -18,7 +19,7 @@
 const (
 	// ExitOK means that the command did what it was asked to.
 	ExitOK = 0
-	// ExitFailed means that the command ran and failed.
+	// ExitFailed means that the command ran and failed, such as a trial that found something broken.
 	ExitFailed = 1
 	// ExitUsage means that the arguments or an input file were wrong; nothing was done.
 	ExitUsage = 2
@@ -33,6 +34,8 @@
 	Slot    *slotCommand    `arg:"subcommand:slot" help:"run the slot of a target"`
 	Trial   *trialCommand   `arg:"subcommand:trial" help:"run a small site on loopback with load and faults, and say what held"`
 	Check   *checkCommand   `arg:"subcommand:check" help:"check settings and configuration files"`
+	Import  *importCommand  `arg:"subcommand:import" help:"make a configuration of an asset register and rules"`
+	Status  *statusCommand  `arg:"subcommand:status" help:"read processes at their operators' addresses"`
 	Version *versionCommand `arg:"subcommand:version" help:"print the version"`
 }
 
@@ -56,6 +59,7 @@
 	switch {
 	case errors.Is(err, arg.ErrHelp):
 		parser.WriteHelp(stdout)
+		writeExamples(stdout, parser.SubcommandNames())
 		return ExitOK
 	case err != nil:
 		parser.WriteUsage(stderr)
@@ -85,6 +89,6 @@
 }
 
 func (*versionCommand) run(_ context.Context, stdout, _ io.Writer) error {
-	_, err := fmt.Fprintln(stdout, "dragonflydeal", Version)
+	_, err := fmt.Fprintln(stdout, "dragonflydeal", Version, runtime.Version())
 	return err
 }
--- /dev/null
+++ b/internal/operator/commands/import.go
@@ -0,0 +1,91 @@
+package commands
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/operator/register"
+)
+
+// importCommand makes a configuration of an asset register and rules.
+type importCommand struct {
+	Register string `arg:"-a,--register,required" placeholder:"REGISTER" help:"asset register, CSV"`
+	Rules    string `arg:"-r,--rules,required" placeholder:"RULES" help:"rules, JSON with comments"`
+	Out      string `arg:"-o,--out" placeholder:"FILE" help:"write the configuration there instead of the standard output"`
+	Revision int64  `arg:"--revision" placeholder:"NUMBER" help:"revision of the configuration instead of the rules' one"`
+}
+
+func (c *importCommand) run(_ context.Context, stdout, stderr io.Writer) error {
+	assets, faults := readFile(c.Register)
+	rules, more := readFile(c.Rules)
+	if faults = append(faults, more...); len(faults) > 0 {
+		return faults
+	}
+	result, faults := register.Import(register.Options{
+		Register: register.Source{Name: c.Register, Data: assets},
+		Rules:    register.Source{Name: c.Rules, Data: rules},
+		Revision: c.Revision,
+	})
+	if len(faults) > 0 {
+		return faults
+	}
+	data, err := result.Encode()
+	if err != nil {
+		return err
+	}
+	var text bytes.Buffer
+	if err := json.Indent(&text, data, "", "  "); err != nil {
+		return err
+	}
+	text.WriteByte('\n')
+	if c.Out == "" {
+		_, err = stdout.Write(text.Bytes())
+		return err
+	}
+	fmt.Fprintf(stderr, "revision %d: %d centres, %d entries, %d targets\n",
+		result.Revision, len(result.Centres), len(result.Entries), len(result.Targets))
+	return replaceFile(c.Out, text.Bytes())
+}
+
+// replaceFile writes a file so that a reader sees the old content or the new one, never a part.
+func replaceFile(path string, data []byte) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("write %s: %w", path, err)
+		}
+	}()
+	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".*")
+	if err != nil {
+		return err
+	}
+	// After the rename there is nothing left to remove.
+	defer func() { _ = os.Remove(f.Name()) }()
+	if err := writeAll(f, data); err != nil {
+		return err
+	}
+	return os.Rename(f.Name(), path)
+}
+
+// fileMode lets others read a configuration.
+const fileMode = 0o644
+
+// writeAll writes and closes a file.
+func writeAll(f *os.File, data []byte) (err error) {
+	defer func() {
+		if failed := f.Close(); err == nil {
+			err = failed
+		}
+	}()
+	if _, err := f.Write(data); err != nil {
+		return err
+	}
+	if err := f.Chmod(fileMode); err != nil {
+		return err
+	}
+	return f.Sync()
+}
--- a/internal/operator/commands/processes.go
+++ b/internal/operator/commands/processes.go
@@ -15,7 +15,7 @@
 
 // process holds the arguments of the commands that run a process.
 type process struct {
-	Settings string `arg:"-s,--settings,required" placeholder:"FILE" help:"settings file, JSON with comments"`
+	Settings string `arg:"-s,--settings,required" placeholder:"SETTINGS" help:"settings file, JSON with comments"`
 	Verbose  bool   `arg:"-v,--verbose" help:"log debug events too"`
 }
 
