--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/membership"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/route"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/suspect"
 )
 
 //go:embed request.chart
@@ -36,6 +37,7 @@
 	flight map[string]int
 	// heirs holds the successors of homes that left by the homes' incarnation.
 	heirs map[uint64]heir
+	crashes
 	// stopping is set by the stop event and never cleared.
 	stopping bool
 }
@@ -63,6 +65,7 @@
 		exchanges: map[string]*exchange{},
 		flight:    map[string]int{},
 		heirs:     map[uint64]heir{},
+		crashes:   crashes{book: suspect.NewBook(), spread: o.Silence / 2},
 	}
 }
 
@@ -85,7 +88,7 @@
 		c.stopping = true
 		return c.settle()
 	case e.Tick != nil:
-		return c.expire(now)
+		return append(c.unhold(now), c.expire(now)...)
 	}
 	return nil
 }
@@ -175,6 +178,7 @@
 		return nil
 	}
 	c.inherit(now, &h)
+	c.learn(now, before, h)
 	if known && before.State == h.State && before.Incarnation == h.Incarnation {
 		return nil
 	}
--- a/internal/core/entry/entry_once.go
+++ b/internal/core/entry/entry_once.go
@@ -8,6 +8,7 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/membership"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/key"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/suspect"
 )
 
 // maxHeirs bounds the hops from a home that left to the target that has its records now.
@@ -52,6 +53,7 @@
 	if configured && t.Pool != x.route.Pool {
 		return refuse(x.request.ID, http.StatusConflict, "the idempotency key's home does not serve this route", 0)
 	}
+	x.request.Alone = c.book.Verdict(now, x.request.Fingerprint) == suspect.Suspected
 	c.exchanges[x.request.ID] = x
 	m, known := c.view.Member(now, k.Home)
 	left := !configured || known && (m.State == membership.StateGone || m.Incarnation != k.Incarnation)
@@ -111,6 +113,9 @@
 
 // mint answers with a fresh key, which the caller repeats the request with.
 func (c *Core) mint(now time.Time, x *exchange) []Action {
+	if c.book.Verdict(now, x.request.Fingerprint) == suspect.Convicted {
+		return refuse(x.request.ID, http.StatusUnprocessableEntity, suspect.Refusal, 0)
+	}
 	fresh, ok := c.freshKey(now, x)
 	if !ok {
 		return refuse(x.request.ID, http.StatusServiceUnavailable, "no target of the pool is in reach", defaultRetry)
@@ -127,7 +132,7 @@
 		clear(x.tried)
 		targets, candidates = c.candidates(now, x)
 	}
-	i := c.picker.Pick(candidates)
+	i := c.choose(now, x, targets, candidates)
 	if i < 0 {
 		return "", false
 	}
--- a/internal/core/slot/slot_job.go
+++ b/internal/core/slot/slot_job.go
@@ -46,6 +46,8 @@
 	// outcome and reason tell how the job ended.
 	outcome call.Outcome
 	reason  string
+	// crashed is set when the engine died while it ran the job.
+	crashed bool
 }
 
 // arrive attaches a stream to a known request or admits a new one.
@@ -62,7 +64,7 @@
 	if c.needsKey(a) {
 		return refuse(a, call.OutcomeNotRun, 0, "the route takes only requests with an idempotency key", defaultRetry)
 	}
-	if refusal := c.checkAdmission(a); refusal != nil {
+	if refusal := c.checkAdmission(now, a); refusal != nil {
 		return refusal
 	}
 	return c.enqueue(now, a)
@@ -114,7 +116,7 @@
 	j.reason = reason
 	j.request.Body = nil
 	if j.request.Key != "" && outcome == call.OutcomeNotRun {
-		c.book.Close(j.request.Key, j.request.Fingerprint)
+		c.records.Close(j.request.Key, j.request.Fingerprint)
 	}
 	delete(c.active, id)
 	c.finished = append(c.finished, id)
@@ -172,6 +174,7 @@
 	if j == nil || j.state != jobRunning {
 		return nil
 	}
+	actions := c.judge(now, r, j)
 	c.running--
 	if r.Status != 0 {
 		j.status, j.media = r.Status, r.Media
@@ -189,7 +192,7 @@
 		signal = "lose"
 		outcome = call.OutcomeUnknown
 	}
-	actions := c.end(now, j, signal, outcome, reason)
+	actions = append(actions, c.end(now, j, signal, outcome, reason)...)
 	actions = append(actions, c.admit(now)...)
 	return append(actions, c.settle(now)...)
 }
@@ -206,7 +209,7 @@
 		}
 		switch j.state {
 		case jobQueued:
-			c.queue = slices.DeleteFunc(c.queue, func(v string) bool { return v == id })
+			c.leave(id)
 			actions = append(actions, c.end(now, j, "cancel", call.OutcomeNotRun, "nobody waits for the answer")...)
 		case jobRunning:
 			actions = append(actions, Action{Abort: &Abort{ID: id}})
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -24,6 +24,8 @@
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 60 * time.Second
 	headerSize    = 16 << 10
+	// closeTimeout bounds the flushing of written answers at the end of a process.
+	closeTimeout = time.Second
 )
 
 // Node is embedded by the processes of both roles.
@@ -96,11 +98,25 @@
 		MaxHeaderBytes:    headerSize,
 		ErrorLog:          slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
 	}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
+	closed := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(closed)
+		shutdown(server)
+	})
 	err = server.Serve(l)
+	if !stop() {
+		<-closed
+	}
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return err
 }
+
+// shutdown lets written answers reach their callers, then closes what is left.
+func shutdown(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	_ = server.Shutdown(ctx)
+	_ = server.Close()
+}
