Pause processes between decision and act in the schedules, and fill their queues

Cause: three mutants passed: no deadline check before a run, keys left open on "not run", no floor for a workspace without room. Change: stalls between an action and its act, services slower than their callers, and keys sent again at the end of their lifetime after "not run".

--- a/internal/proof/pair/caller_test.go
+++ b/internal/proof/pair/caller_test.go
@@ -76,10 +76,15 @@
 // abuse sends the key of a call that ran with what does not belong to it, or too late.
 func (c *caller) abuse(text string) {
 	w := c.w
-	late := key.Lifetime + time.Duration(w.random.Int64N(int64(2*key.Allowance+time.Minute)))
 	w.after(w.delay(), func() { c.ask(text, "another body", c.workspace) })
 	w.after(w.delay(), func() { c.ask(text, c.body, strangers[c.workspace]) })
-	w.after(late, func() { c.ask(text, c.body, c.workspace) })
+	c.late(text)
+}
+
+// late sends a key again round the end of its lifetime.
+func (c *caller) late(text string) {
+	d := key.Lifetime + time.Duration(c.w.random.Int64N(int64(2*key.Allowance+time.Minute)))
+	c.w.after(d-busy, func() { c.ask(text, c.body, c.workspace) })
 }
 
 func (w *world) exchangeOf(id string) (*caller, *exchange) {
@@ -129,7 +134,10 @@
 			c.again()
 		}
 	case call.OutcomeNotRun:
-		w.told[x.key] = x.key != "" || w.told[x.key]
+		if x.key != "" {
+			w.told[x.key] = true
+			c.late(x.key)
+		}
 		if f.Key != "" && (x.key == "" || w.chance(0.5)) {
 			c.key = f.Key
 		}
--- a/internal/proof/pair/pair_test.go
+++ b/internal/proof/pair/pair_test.go
@@ -41,10 +41,11 @@
 		{"pauses", faults{pause: 0.1, double: 0.1, slow: 0.05}},
 		{"cuts", faults{cut: 0.1, slow: 0.05}},
 		{"crashes", faults{crash: 0.2}},
+		{"overload", faults{service: 3 * time.Second, crash: 0.05}},
 		{"removal", faults{remove: true, lose: 0.05}},
 		{"kill and cut", faults{restart: 0.05, cut: 0.1}},
 		{"all", faults{
-			lose: 0.05, double: 0.1, slow: 0.05, crash: 0.05, restart: 0.03, pause: 0.05, cut: 0.05, remove: true, offset: key.Allowance / 2,
+			service: time.Second, lose: 0.05, double: 0.1, slow: 0.05, crash: 0.05, restart: 0.03, pause: 0.05, cut: 0.05, remove: true, offset: key.Allowance / 2,
 		}},
 	}
 	for _, test := range tests {
--- a/internal/proof/pair/process_test.go
+++ b/internal/proof/pair/process_test.go
@@ -76,6 +76,7 @@
 	}
 	k := &conn{entry: e, slot: w.slotOf(s.Target), request: s.Request, generation: -1}
 	e.conns[s.Request.ID] = k
+	w.stall(&e.process)
 	w.on(&e.process, time.Millisecond, func() {
 		left, ok := s.Left(w.clock(&e.process))
 		if !ok || w.now < e.cut || w.now < k.slot.cut {
@@ -189,6 +190,7 @@
 	for _, a := range s.core.Handle(s.w.clock(&s.process), v) {
 		switch {
 		case a.Run != nil:
+			s.w.stall(&s.process)
 			s.w.on(&s.process, time.Millisecond, func() { s.execute(a.Run) })
 		case a.Chunk != nil:
 			if k := s.streams[a.Chunk.Stream]; k != nil {
@@ -220,6 +222,9 @@
 		return
 	}
 	d := w.delay()
+	if w.service > 0 {
+		d += time.Duration(w.random.Int64N(int64(w.service)))
+	}
 	for i := 0; i < len(answer); i += 30 {
 		part := []byte(answer[i:min(i+30, len(answer))])
 		w.on(&s.process, d, func() {
--- a/internal/proof/pair/world_test.go
+++ b/internal/proof/pair/world_test.go
@@ -31,6 +31,8 @@
 	lose, double, slow, crash float64
 	// restart, pause and cut are for each process and second.
 	restart, pause, cut float64
+	// service is the longest time of one execution.
+	service time.Duration
 	// remove takes a target out of the configuration for a while.
 	remove bool
 	// offset is the largest difference of a process's clock from the true time.
@@ -161,6 +163,13 @@
 	return time.Unix(1_700_000_000, 0).Add(w.now + p.offset)
 }
 
+// stall may pause a process between a decision and its act.
+func (w *world) stall(p *process) {
+	if w.chance(w.pause / 4) {
+		p.paused = w.now + time.Duration(w.random.Int64N(int64(8*time.Second)))
+	}
+}
+
 func (w *world) chance(p float64) bool { return w.random.Float64() < p }
 
 func (w *world) delay() time.Duration {
