--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -24,6 +24,8 @@
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 60 * time.Second
 	headerSize    = 16 << 10
+	// closeTimeout bounds the flushing of written answers at the end of a process.
+	closeTimeout = time.Second
 )
 
 // Node is embedded by the processes of both roles.
@@ -40,6 +42,8 @@
 	Mux *drpcmux.Mux
 	// Now returns the present time.
 	Now func() time.Time
+	// follower keeps the configuration up to date.
+	follower *follower
 }
 
 // Options are the inputs of New.
@@ -50,18 +54,25 @@
 	Log *slog.Logger
 	// Now returns the present time.
 	Now func() time.Time
+	// Dial opens a TCP connection to another instance; nil means the network's own way.
+	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 }
 
 // New returns a Node that serves nothing yet.
 func New(o Options) *Node {
-	return &Node{
+	log := o.Log.With("instance", o.Settings.Name)
+	n := &Node{
 		Settings: o.Settings,
-		Log:      o.Log,
-		Trail:    audit.NewTrail(o.Log),
-		Pool:     link.NewPool(link.Options{Local: o.Settings.Listen.Addr(), Silence: time.Duration(o.Settings.Ping)}),
-		Mux:      drpcmux.New(),
-		Now:      o.Now,
+		Log:      log,
+		Trail:    audit.NewTrail(log),
+		Pool: link.NewPool(link.Options{
+			Local: o.Settings.Listen.Addr(), Dial: o.Dial, Silence: time.Duration(o.Settings.Ping),
+		}),
+		Mux: drpcmux.New(),
+		Now: o.Now,
 	}
+	n.follower = newFollower(n)
+	return n
 }
 
 // Listen opens a TCP listener.
@@ -87,11 +98,25 @@
 		MaxHeaderBytes:    headerSize,
 		ErrorLog:          slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
 	}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
+	closed := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(closed)
+		shutdown(server)
+	})
 	err = server.Serve(l)
+	if !stop() {
+		<-closed
+	}
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return err
 }
+
+// shutdown lets written answers reach their callers, then closes what is left.
+func shutdown(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	_ = server.Shutdown(ctx)
+	_ = server.Close()
+}
--- a/internal/wire/link/link.go
+++ b/internal/wire/link/link.go
@@ -50,14 +50,16 @@
 	recent *drpcpool.Pool[netip.AddrPort, *recentConn]
 	// fresh is the age of the last use from which Take no longer trusts a connection.
 	fresh time.Duration
-	// local is the source address of all connections.
-	local netip.Addr
+	// dial opens the TCP connections.
+	dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 }
 
 // Options are the inputs of NewPool.
 type Options struct {
 	// Local is the source address of all connections.
 	Local netip.Addr
+	// Dial opens a TCP connection; nil means the network's own way, from Local.
+	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	// Silence is the time after which a connection without a sign of life counts as silent.
 	Silence time.Duration
 }
@@ -74,11 +76,23 @@
 		Expiration:  idleTimeout,
 		KeyCapacity: idleConns,
 	})
+	dial := o.Dial
+	if dial == nil {
+		dial = Dialer(o.Local)
+	}
 	recent := drpcpool.New[netip.AddrPort, *recentConn](drpcpool.Options{
 		Expiration:  idleTimeout,
 		KeyCapacity: idleConns,
 	})
-	return &Pool{pool: pool, recent: recent, fresh: o.Silence / freshShare, local: o.Local}
+	return &Pool{pool: pool, recent: recent, fresh: o.Silence / freshShare, dial: dial}
+}
+
+// Dialer returns a function that opens TCP connections from an address.
+func Dialer(local netip.Addr) func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	d := &net.Dialer{Timeout: dialTimeout, LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0))}
+	return func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp", address.String())
+	}
 }
 
 // Take returns a connection that worked a moment ago, or a new one. Its user owns it until Put.
@@ -111,15 +125,16 @@
 	return errors.Join(p.pool.Close(), p.recent.Close())
 }
 
-// dialer returns a dialer that sends from the instance's own address.
-func (p *Pool) dialer() *net.Dialer {
-	return &net.Dialer{Timeout: dialTimeout, LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(p.local, 0))}
-}
-
 // Transport returns an HTTP transport that sends from the instance's own address.
 func (p *Pool) Transport() *http.Transport {
 	return &http.Transport{
-		DialContext:         p.dialer().DialContext,
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			a, err := netip.ParseAddrPort(address)
+			if err != nil {
+				return nil, err
+			}
+			return p.dial(ctx, a)
+		},
 		MaxIdleConnsPerHost: idleConns,
 		IdleConnTimeout:     idleTimeout,
 	}
@@ -127,7 +142,7 @@
 
 // Dial opens a new connection.
 func (p *Pool) Dial(ctx context.Context, address netip.AddrPort) (conn drpcpool.Conn, err error) {
-	c, err := p.dialer().DialContext(ctx, "tcp", address.String())
+	c, err := p.dial(ctx, address)
 	if err != nil {
 		return nil, &ErrDial{Address: address, Cause: err}
 	}
