--- a/internal/core/entry/entry_crash.go
+++ b/internal/core/entry/entry_crash.go
@@ -92,6 +92,7 @@
 	if x.request.Key == "" && !x.request.Lookup && x.assembler.Offset() == 0 {
 		x.tried[x.target] = true
 		x.sent = false
+		x.doubt = true
 		return c.attempt(now, x)
 	}
 	return c.hold(now, x, k.Outcome, "the engine died while it ran this and other requests")
--- a/internal/process/slotd/slotd_engine.go
+++ b/internal/process/slotd/slotd_engine.go
@@ -24,7 +24,9 @@
 	pollInterval = 250 * time.Millisecond
 	// pollTimeout bounds one read of the load report.
 	pollTimeout = time.Second
-	readSize    = 32 << 10
+	// onceGrace is how long the answer to a non-idempotent call is waited for after its deadline.
+	onceGrace = 10 * time.Second
+	readSize  = 32 << 10
 )
 
 // beat returns the next heartbeat.
@@ -105,7 +107,7 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, limitOf(r))
 	defer cancel()
 	request, err := p.request(ctx, r)
 	if err != nil {
@@ -122,6 +124,15 @@
 	return p.copy(r, response)
 }
 
+// limitOf returns the time at which a run is given up. The answer to a non-idempotent call
+// is read beyond its caller's deadline, because the caller will ask for it again.
+func limitOf(r *slot.Run) time.Time {
+	if r.Request.Key != "" {
+		return r.Deadline.Add(onceGrace)
+	}
+	return r.Deadline
+}
+
 // body hides the type of a reader, so that no part of the HTTP client can rewind and repeat it.
 type body struct {
 	io.Reader
--- a/internal/trial/service/service.go
+++ b/internal/trial/service/service.go
@@ -16,6 +16,8 @@
 	mu sync.Mutex
 	// runs counts the started executions by idempotency key.
 	runs map[string]int
+	// lost makes every call run and its answer get lost.
+	lost bool
 }
 
 // Options are the inputs of New.
@@ -52,6 +54,9 @@
 	case <-timer.C:
 	case <-r.Context().Done():
 	}
+	if s.losing() {
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	fmt.Fprintf(w, "done %d: %s", n, body)
 }
@@ -64,6 +69,19 @@
 	return s.runs[key]
 }
 
+func (s *Service) losing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lost
+}
+
+// SetLost makes the service run every call and close its connection without an answer, or answer again.
+func (s *Service) SetLost(lost bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost = lost
+}
+
 // Runs returns how often a key was executed.
 func (s *Service) Runs(key string) int {
 	s.mu.Lock()
