Fuzz keys, resume tokens and messages; refuse second spellings and unknown outcomes

Cause: FuzzParse found a key with a line break inside that read as the same key ("reads as a key that is written ..."), so that one key had two records; an unknown outcome number from a newer process could read as "not run"; hostile offsets, statuses and times were taken as they came. Change: one spelling for each key; clamps where messages are decoded; unit tests of records, floods, kept answers and frozen streams.

--- /dev/null
+++ b/internal/core/slot/slot_record_test.go
@@ -0,0 +1,166 @@
+package slot
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/key"
+)
+
+// holdSlot drives the core of a target with a non-idempotent route.
+type holdSlot struct {
+	*Core
+	now    time.Time
+	stream uint64
+}
+
+func newHoldSlot(t *testing.T, limits Limits) *holdSlot {
+	t.Helper()
+	s := &holdSlot{now: time.Unix(1_700_000_000, 0)}
+	s.Core = New(Options{Name: "hold-1", Random: rand.New(rand.NewPCG(1, 1)), Limits: limits})
+	s.do(Event{Configuration: &configuration.Configuration{
+		Revision: 1, Targets: []configuration.Target{{Name: "hold-1", Pool: "hold", Width: 2}},
+		Routes: []configuration.Route{{Name: "hold", Prefix: "/v1/holds", Pool: "hold", Once: true}},
+	}})
+	s.do(Event{Report: &Report{Alive: true}})
+	is.New(t).True(s.Ready())
+	return s
+}
+
+func (s *holdSlot) do(e Event) []Action { return s.Handle(s.now, e) }
+
+func (s *holdSlot) key(number uint64) string {
+	return key.Key{
+		Home: "hold-1", Incarnation: s.Incarnation(), Minted: s.now, Random: number, Workspace: key.WorkspaceHash("school"),
+	}.String()
+}
+
+// send brings a request and returns the last chunk for its stream.
+func (s *holdSlot) send(r call.Request) (c call.Chunk) {
+	s.stream++
+	r.ID, r.Workspace, r.Remaining = fmt.Sprint("request ", s.stream), "school", time.Second
+	if r.Path == "" {
+		r.Path = "/v1/holds"
+	}
+	for _, a := range s.do(Event{Arrival: &Arrival{Request: r, Stream: s.stream}}) {
+		if a.Chunk != nil && a.Chunk.Stream == s.stream {
+			c = a.Chunk.Chunk
+		}
+	}
+	return c
+}
+
+func (s *holdSlot) complete(id string, data []byte) {
+	s.do(Event{Output: &Output{ID: id, Data: data, Status: http.StatusOK}})
+	s.do(Event{Result: &Result{ID: id, Outcome: call.OutcomeComplete, Status: http.StatusOK}})
+}
+
+func TestRouteNeedsKey(t *testing.T) {
+	is := is.New(t)
+	s := newHoldSlot(t, DefaultLimits)
+	is.Equal(s.send(call.Request{}).Outcome, call.OutcomeNotRun)
+	is.Equal(s.send(call.Request{Path: "/v1/lookups"}).Outcome, call.OutcomeNone)
+}
+
+// A request that continues an answer is never run anew: its bytes would not fit those sent before.
+func TestNoSecondRunForTheRest(t *testing.T) {
+	is := is.New(t)
+	s := newHoldSlot(t, DefaultLimits)
+	is.Equal(s.send(call.Request{Path: "/v1/desk", Offset: 10}).Outcome, call.OutcomeFailed)
+	is.Equal(s.send(call.Request{Path: "/v1/desk", Answer: "x"}).Outcome, call.OutcomeUnknown)
+	is.Equal(s.Status().Known, 0)
+}
+
+func TestAnswerLargerThanTheBuffer(t *testing.T) {
+	is := is.New(t)
+	limits := DefaultLimits
+	limits.Answer = 100
+	s := newHoldSlot(t, limits)
+	text := s.key(1)
+	s.send(call.Request{Key: text})
+	s.complete(text, make([]byte, 101))
+	again := s.send(call.Request{Key: text})
+	is.Equal(again.Outcome, call.OutcomeFailed)
+	is.True(again.End)
+}
+
+// Kept answers are bounded in total; a dropped one is a visible error and never runs again.
+func TestKeptAnswersAreBounded(t *testing.T) {
+	is := is.New(t)
+	limits := DefaultLimits
+	limits.Total = 1000
+	s := newHoldSlot(t, limits)
+	first := s.key(0)
+	for i := range uint64(50) {
+		text := s.key(i)
+		s.send(call.Request{Key: text})
+		s.complete(text, make([]byte, 100))
+		is.True(s.held <= limits.Total)
+	}
+	dropped := s.send(call.Request{Key: first})
+	is.Equal(dropped.Outcome, call.OutcomeFailed)
+	is.Equal(s.running, 0)
+	newest := s.send(call.Request{Key: s.key(49)})
+	is.Equal(newest.Outcome, call.OutcomeComplete)
+}
+
+// A stream that sends nothing is handed one chunk, however long the answer grows.
+func TestFrozenStreamHoldsOneChunk(t *testing.T) {
+	is := is.New(t)
+	s := newHoldSlot(t, DefaultLimits)
+	text := s.key(1)
+	s.send(call.Request{Key: text})
+	chunks := 0
+	var want, got []byte
+	collect := func(actions []Action) {
+		for _, a := range actions {
+			if a.Chunk != nil {
+				chunks++
+				got = append(got, a.Chunk.Data...)
+			}
+		}
+	}
+	for i := range 1000 {
+		data := fmt.Appendf(nil, "token %d ", i)
+		want = append(want, data...)
+		collect(s.do(Event{Output: &Output{ID: text, Data: data, Status: http.StatusOK}}))
+	}
+	is.Equal(chunks, 1)
+	s.do(Event{Result: &Result{ID: text, Outcome: call.OutcomeComplete}})
+	for range 3 {
+		collect(s.do(Event{Drained: &Drained{ID: text, Stream: s.stream}}))
+	}
+	is.True(bytes.Equal(got, want))
+}
+
+// Finished work leaves nothing behind once it was kept long enough.
+func TestNothingIsKeptForEver(t *testing.T) {
+	is := is.New(t)
+	s := newHoldSlot(t, DefaultLimits)
+	for i := range uint64(20) {
+		s.send(call.Request{Key: s.key(i)})
+		s.complete(s.key(i), []byte("done"))
+		s.send(call.Request{Path: "/v1/lookups"})
+		s.complete(fmt.Sprint("request ", s.stream), []byte("found"))
+	}
+	is.Equal(s.Status().Known, 40)
+	for stream := range s.stream {
+		for _, id := range []string{s.key(stream / 2), fmt.Sprint("request ", stream+1)} {
+			s.do(Event{Detach: &Detach{ID: id, Stream: stream + 1}})
+		}
+	}
+	s.now = s.now.Add(key.Lifetime + 2*key.Allowance)
+	s.do(Event{Tick: &Tick{}})
+	s.do(Event{Tick: &Tick{}})
+	is.Equal(s.Status().Known, 0)
+	is.Equal(s.held, 0)
+	is.Equal(s.records.Size(), 0)
+}
--- /dev/null
+++ b/internal/process/entryd/resume_test.go
@@ -0,0 +1,31 @@
+package entryd
+
+import (
+	"testing"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/core/entry"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/key"
+)
+
+func FuzzResume(f *testing.F) {
+	f.Add(token("00112233445566778899aabbccddeeff", "desk-c1-0", 42))
+	f.Add(token(key.Key{Home: "hold-1"}.String(), "hold-1", 0))
+	f.Add("00112233445566778899aabbccddeeff/a/b/9223372036854775808")
+	f.Add("x//-1")
+	f.Fuzz(func(t *testing.T, text string) {
+		var a entry.Arrival
+		if resume(&a, text) != nil {
+			if a.Answer != "" || a.Home != "" || a.Offset != 0 {
+				t.Errorf("%q is refused and used", text)
+			}
+			return
+		}
+		if a.Answer == "" || a.Home == "" || a.Offset < 0 {
+			t.Errorf("%q reads as %+v", text, a)
+		}
+		var again entry.Arrival
+		if err := resume(&again, token(a.Answer, a.Home, a.Offset)); err != nil || again.Answer != a.Answer || again.Home != a.Home || again.Offset != a.Offset {
+			t.Errorf("%q does not read as it is written", text)
+		}
+	})
+}
--- a/internal/proof/failure/load_test.go
+++ b/internal/proof/failure/load_test.go
@@ -41,15 +41,15 @@
 // caller makes calls one after the other, resending each through any entry until its fate is known.
 func (s *site) caller(l *ledger, random *rand.Rand, name string, timeout time.Duration) {
 	entries := []string{"entry-c1-0", "entry-c1-1", "entry-c2-0", "entry-c2-1"}
-	any := func() *process { return s.processes[entries[random.IntN(len(entries))]] }
+	anyEntry := func() *process { return s.processes[entries[random.IntN(len(entries))]] }
 	for i := range *callsFlag {
 		q := question{path: "/v1/holds", body: fmt.Sprintf("%s-%d", name, i), timeout: timeout}
-		q.key = any().ask(q).problem.Key
+		q.key = anyEntry().ask(q).problem.Key
 		if q.key == "" {
 			continue
 		}
 		for range 5 {
-			a := any().ask(q)
+			a := anyEntry().ask(q)
 			l.note(q, a)
 			if a.whole && random.IntN(3) > 0 {
 				break
@@ -73,7 +73,9 @@
 			s.network.cut(1, 2)
 			time.AfterFunc(time.Duration(100+random.IntN(900))*time.Millisecond, s.network.heal)
 		case 3:
-			s.network.silence(p.settings.Listen)
+			if s.network.silence(p.settings.Listen) == 0 {
+				continue
+			}
 		case 4:
 			// Two faults at once.
 			s.network.cut(1, 2)
--- a/internal/request/key/key.go
+++ b/internal/request/key/key.go
@@ -92,6 +92,10 @@
 	if err != nil || len(b) <= fixedSize+checksumSize {
 		return Key{}, ErrFormat
 	}
+	// The decoder skips line breaks; a key has one spelling only, because records are found by it.
+	if strings.ContainsAny(coded, "\r\n") {
+		return Key{}, ErrFormat
+	}
 	body, sum := b[:len(b)-checksumSize], b[len(b)-checksumSize:]
 	if binary.BigEndian.Uint64(sum) != xxhash.Sum64(body) {
 		return Key{}, ErrFormat
--- a/internal/wire/message/convert.go
+++ b/internal/wire/message/convert.go
@@ -1,6 +1,8 @@
 package message
 
 import (
+	"math"
+	"net/http"
 	"time"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/base/chart"
@@ -20,8 +22,8 @@
 // Call returns the request of its wire form.
 func (r *Request) Call() call.Request {
 	return call.Request{
-		ID: r.Id, Answer: r.Answer, Workspace: r.Workspace, Route: r.Route, Path: r.Path, Key: r.Key, Offset: r.Offset,
-		Remaining: time.Duration(r.Remaining) * time.Microsecond, Body: r.Body, Attempt: int(r.Attempt),
+		ID: r.Id, Answer: r.Answer, Workspace: r.Workspace, Route: r.Route, Path: r.Path, Key: r.Key, Offset: max(r.Offset, 0),
+		Remaining: duration(r.Remaining), Body: r.Body, Attempt: int(r.Attempt),
 		Fingerprint: r.Fingerprint, Lookup: r.Lookup, Alone: r.Alone,
 	}
 }
@@ -37,8 +39,8 @@
 // Call returns the chunk of its wire form.
 func (c *Chunk) Call() call.Chunk {
 	return call.Chunk{
-		ID: c.Id, Offset: c.Offset, Data: c.Data, End: c.End, Outcome: call.Outcome(c.Outcome), Reason: c.Reason,
-		Retry: time.Duration(c.Retry) * time.Microsecond, Status: int(c.Status), Media: c.Media, Crashed: c.Crashed,
+		ID: c.Id, Offset: max(c.Offset, 0), Data: c.Data, End: c.End, Outcome: outcome(c.Outcome), Reason: c.Reason,
+		Retry: max(duration(c.Retry), 0), Status: status(c.Status), Media: c.Media, Crashed: c.Crashed,
 	}
 }
 
@@ -59,6 +61,28 @@
 		Running: int(h.Running), Queued: int(h.Queued), Width: int(h.Width), Revision: h.Revision,
 		Prefixes: h.Prefixes, Suspects: h.Suspects, Successor: h.Successor,
 		Cleared: h.Cleared, Convicted: h.Convicted,
-		Age: time.Duration(h.Age) * time.Microsecond,
+		Age: max(duration(h.Age), 0),
 	}
 }
+
+// duration returns a time in microseconds, cut to what a time.Duration can hold.
+func duration(microseconds int64) time.Duration {
+	const limit = int64(math.MaxInt64 / time.Microsecond)
+	return time.Duration(max(min(microseconds, limit), -limit)) * time.Microsecond
+}
+
+// outcome returns an outcome; one that is not known here says nothing about what ran.
+func outcome(v uint32) call.Outcome {
+	if v > uint32(call.OutcomeFailed) {
+		return call.OutcomeUnknown
+	}
+	return call.Outcome(v)
+}
+
+// status returns an HTTP status that can end a response, or zero.
+func status(v uint32) int {
+	if v < http.StatusOK || v > 599 {
+		return 0
+	}
+	return int(v)
+}
