--- a/internal/core/slot/slot_power.go
+++ b/internal/core/slot/slot_power.go
@@ -34,7 +34,7 @@
 		return
 	}
 	if c.ledger == nil {
-		c.ledger = power.NewLedger(now, power.Options{Limits: power.DefaultLimits, Random: c.supply.random})
+		c.ledger = power.NewLedger(now, power.Options{Limits: power.DefaultLimits, Random: c.random})
 	}
 	c.ledger.Configure(now, power.Plan{
 		Share: c.target.Watts, Idle: c.target.Idle, Draw: c.target.Draw,
--- a/internal/core/slot/slot_record_test.go
+++ b/internal/core/slot/slot_record_test.go
@@ -76,7 +76,7 @@
 	s := newHoldSlot(t, DefaultLimits)
 	is.Equal(s.send(call.Request{Path: "/v1/desk", Offset: 10}).Outcome, call.OutcomeFailed)
 	is.Equal(s.send(call.Request{Path: "/v1/desk", Answer: "x"}).Outcome, call.OutcomeUnknown)
-	is.Equal(s.Status().Known, 0)
+	is.Equal(s.Status(s.now).Known, 0)
 }
 
 func TestAnswerLargerThanTheBuffer(t *testing.T) {
@@ -151,7 +151,7 @@
 		s.send(call.Request{Path: "/v1/lookups"})
 		s.complete(fmt.Sprint("request ", s.stream), []byte("found"))
 	}
-	is.Equal(s.Status().Known, 40)
+	is.Equal(s.Status(s.now).Known, 40)
 	for stream := range s.stream {
 		for _, id := range []string{s.key(stream / 2), fmt.Sprint("request ", stream+1)} {
 			s.do(Event{Detach: &Detach{ID: id, Stream: stream + 1}})
@@ -160,7 +160,7 @@
 	s.now = s.now.Add(key.Lifetime + 2*key.Allowance)
 	s.do(Event{Tick: &Tick{}})
 	s.do(Event{Tick: &Tick{}})
-	is.Equal(s.Status().Known, 0)
+	is.Equal(s.Status(s.now).Known, 0)
 	is.Equal(s.held, 0)
 	is.Equal(s.records.Size(), 0)
 }
--- a/internal/proof/failure/network_test.go
+++ b/internal/proof/failure/network_test.go
@@ -70,16 +70,14 @@
 }
 
 // silence makes the open connections to an address swallow all bytes; new ones work.
-func (n *network) silence(address netip.AddrPort) (count int) {
+func (n *network) silence(address netip.AddrPort) {
 	n.change(func() {
 		for c := range n.conns {
 			if c.address == address {
 				c.silent = true
-				count++
 			}
 		}
 	})
-	return count
 }
 
 // open starts a proxy for an address and returns where it listens.
--- a/internal/proof/failure/power_test.go
+++ b/internal/proof/failure/power_test.go
@@ -70,10 +70,10 @@
 	clear(m.peak)
 }
 
-func (m *meter) read(target string) (most int64, peak int) {
+func (m *meter) read() (most int64, peak int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.most, m.peak[target]
+	return m.most, m.peak["desk-c1-0"]
 }
 
 // newPowerSite starts one data centre with an engine, two services and a cap that is the sum of their shares.
@@ -166,7 +166,7 @@
 			stop := flood(s, 8)
 			s.await("the engine borrows", func() bool { return s.processes["desk-c1-0"].powerStatus().Power.Borrowed > 0 })
 			s.await("the engine runs more than under its own share", func() bool {
-				_, peak := m.read("desk-c1-0")
+				_, peak := m.read()
 				return peak > (testShare-testIdle)/testDraw
 			})
 			test.fault(s)
@@ -176,14 +176,13 @@
 				wait(t.Context(), 200*time.Millisecond)
 			}
 			stop()
-			most, _ := m.read("desk-c1-0")
+			most, _ := m.read()
 			is.True(most <= 3*testShare)
 			s.awaitReturned()
 		})
 	}
 }
 
-
 // awaitReturned waits until all power is with its owner again.
 func (s *site) awaitReturned() {
 	s.t.Helper()
@@ -216,12 +215,12 @@
 	s.await("the draw is under the lower cap", func() bool {
 		m.reset()
 		wait(t.Context(), 100*time.Millisecond)
-		most, _ := m.read("desk-c1-0")
+		most, _ := m.read()
 		return most <= 3*(testShare-testDraw)
 	})
 	m.reset()
 	wait(t.Context(), 2*time.Second)
-	most, _ := m.read("desk-c1-0")
+	most, _ := m.read()
 	is.True(most <= 3*(testShare-testDraw))
 	stop()
 	s.awaitReturned()
