--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -4,7 +4,6 @@
 import (
 	_ "embed"
 	"math/rand/v2"
-	"net/netip"
 	"time"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/base/chart"
@@ -34,6 +33,16 @@
 	exchanges map[string]*exchange
 	// flight counts this entry's requests in progress by target.
 	flight map[string]int
+	// gossip chooses what other entries are told.
+	gossip *membership.Gossip
+	// failed holds the entries that did not answer last.
+	failed map[string]bool
+	// silent holds the watched targets whose silence was recorded.
+	silent map[string]bool
+	// subset is the set of targets that is watched first-hand.
+	subset membership.Subset
+	// beat is the configured time between heartbeats.
+	beat time.Duration
 	// stopping is set by the stop event and never cleared.
 	stopping bool
 }
@@ -46,16 +55,21 @@
 	Centre string
 	// Random is the source of chance; it must not be shared.
 	Random *rand.Rand
-	// Silence is the age of the newest heartbeat at which a target counts as lost.
-	Silence time.Duration
+	// Beat is the time between heartbeats.
+	Beat time.Duration
 }
 
 // New returns a core that knows no configuration yet.
 func New(o Options) *Core {
+	view := membership.NewView(membership.Options{Silence: silentBeats * o.Beat, Relayed: relayedSilence})
 	return &Core{
 		name:      o.Name,
 		centre:    o.Centre,
-		view:      membership.NewView(membership.Options{Silence: o.Silence}),
+		view:      view,
+		gossip:    membership.NewGossip(view),
+		failed:    map[string]bool{},
+		silent:    map[string]bool{},
+		beat:      o.Beat,
 		picker:    route.NewPicker(route.Options{Random: o.Random}),
 		random:    o.Random,
 		exchanges: map[string]*exchange{},
@@ -78,11 +92,17 @@
 		return c.hear(now, *e.Heartbeat)
 	case e.Configuration != nil:
 		return c.configure(e.Configuration)
+	case e.Digest != nil:
+		return c.merge(now, e.Digest)
+	case e.Hint != nil:
+		c.hint(now, *e.Hint)
+	case e.Peer != nil:
+		return c.judge(e.Peer)
 	case e.Stop != nil:
 		c.stopping = true
 		return c.settle()
 	case e.Tick != nil:
-		return c.expire(now)
+		return append(c.notice(now), c.expire(now)...)
 	}
 	return nil
 }
@@ -147,34 +167,3 @@
 	}
 	return s
 }
-
-// configure puts a newer revision in force.
-func (c *Core) configure(next *configuration.Configuration) []Action {
-	if next.Revision <= c.Revision() {
-		return nil
-	}
-	c.configuration = next
-	targets := map[string]netip.AddrPort{}
-	for _, t := range next.Targets {
-		targets[t.Name] = t.Address
-	}
-	c.view.Forget(func(name string) bool {
-		_, ok := targets[name]
-		return ok
-	})
-	return []Action{{Watch: &Watch{Targets: targets}}}
-}
-
-// hear takes in a heartbeat and records changes of a target's state.
-func (c *Core) hear(now time.Time, h membership.Heartbeat) []Action {
-	before, known := c.view.Member(now, h.Target)
-	if !c.view.Accept(now, h) {
-		return nil
-	}
-	if known && before.State == h.State && before.Incarnation == h.Incarnation {
-		return nil
-	}
-	return []Action{{Audit: &Audit{Kind: "target", Attributes: []any{
-		"target", h.Target, "state", h.State, "incarnation", h.Incarnation,
-	}}}}
-}
--- a/internal/core/entry/entry_attempt.go
+++ b/internal/core/entry/entry_attempt.go
@@ -30,10 +30,13 @@
 func (c *Core) candidates(now time.Time, x *exchange) (targets []configuration.Target, candidates []route.Candidate) {
 	for _, t := range c.configuration.Pool(x.route.Pool) {
 		m, ok := c.view.Member(now, t.Name)
-		if !ok || m.State != membership.StateServing || x.tried[t.Name] {
-			continue
+		if ok && m.State == membership.StateServing && !x.tried[t.Name] {
+			targets = append(targets, t)
 		}
-		targets = append(targets, t)
+	}
+	targets = c.preferred(now, targets)
+	for _, t := range targets {
+		m, _ := c.view.Member(now, t.Name)
 		candidates = append(candidates, route.Candidate{
 			Name: t.Name, Near: t.Centre == c.centre, Width: m.Width,
 			Running: m.Running, Queued: m.Queued, Age: now.Sub(m.Made), Own: c.flight[t.Name],
--- a/internal/core/entry/event.go
+++ b/internal/core/entry/event.go
@@ -21,6 +21,12 @@
 	Gone *Gone
 	// Heartbeat is a target's report.
 	Heartbeat *membership.Heartbeat
+	// Digest is what another entry tells about targets.
+	Digest *membership.Digest
+	// Hint is a target that the platform lists as leaving.
+	Hint *membership.Hint
+	// Peer tells whether another entry answered.
+	Peer *Peer
 	// Configuration is an accepted revision; its number never falls.
 	Configuration *configuration.Configuration
 	// Stop tells that the process was asked to stop.
@@ -76,6 +82,14 @@
 	ID string
 }
 
+// Peer tells whether another entry answered.
+type Peer struct {
+	// Name is the entry's name.
+	Name string
+	// Alive is false when the entry did not answer.
+	Alive bool
+}
+
 // Stop asks for a graceful shutdown.
 type Stop struct{}
 
@@ -170,6 +184,8 @@
 type Watch struct {
 	// Targets maps each target's name to its slot's address.
 	Targets map[string]netip.AddrPort
+	// Beat is the wanted time between heartbeats.
+	Beat time.Duration
 }
 
 // Audit is a change for the audit trail.
--- a/internal/core/slot/slot.go
+++ b/internal/core/slot/slot.go
@@ -123,6 +123,11 @@
 	return c.state == membership.StateServing
 }
 
+// State returns the target's state.
+func (c *Core) State() chart.State {
+	return c.state
+}
+
 // Revision returns the configuration revision in force, or zero.
 func (c *Core) Revision() int64 {
 	if c.configuration == nil {
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -65,17 +65,45 @@
 	members map[string]*Member
 	// silence is the age from which a heartbeat proves nothing.
 	silence time.Duration
+	// relayed is the age from which a report that came by digest proves nothing.
+	relayed time.Duration
+	// direct reports whether a target's heartbeats come first-hand.
+	direct func(target string) bool
 }
 
 // Options are the inputs of NewView.
 type Options struct {
 	// Silence is the age of the newest heartbeat at which a target counts as lost.
 	Silence time.Duration
+	// Relayed is the same for reports that come by digest; zero means Silence.
+	Relayed time.Duration
 }
 
 // NewView returns an empty View.
 func NewView(o Options) *View {
-	return &View{members: map[string]*Member{}, silence: o.Silence}
+	return &View{
+		members: map[string]*Member{}, silence: o.Silence, relayed: max(o.Relayed, o.Silence),
+		direct: func(string) bool { return true },
+	}
+}
+
+// Watch tells for which targets heartbeats come first-hand and at what age they prove nothing.
+func (v *View) Watch(direct func(target string) bool, silence time.Duration) {
+	v.direct = direct
+	v.silence = silence
+}
+
+// Direct reports whether a target's heartbeats come first-hand.
+func (v *View) Direct(target string) bool {
+	return v.direct(target)
+}
+
+// limit returns the age from which a target's newest report proves nothing.
+func (v *View) limit(target string) time.Duration {
+	if v.direct(target) {
+		return v.silence
+	}
+	return v.relayed
 }
 
 // Accept takes in a heartbeat and reports whether it is news.
@@ -88,7 +116,7 @@
 		return true
 	}
 	if m.Incarnation == h.Incarnation && h.Sequence <= m.Sequence {
-		return false
+		return v.lose(m, h)
 	}
 	if m.Incarnation != h.Incarnation && made.Before(m.Made) {
 		return false
@@ -98,6 +126,15 @@
 	return true
 }
 
+// lose takes in that the entries which watch a target do not hear it; its own next heartbeat outdates that.
+func (v *View) lose(m *Member, h Heartbeat) bool {
+	if h.State != StateLost || h.Sequence < m.Sequence || m.State == StateLost || v.direct(h.Target) {
+		return false
+	}
+	m.State = StateLost
+	return true
+}
+
 // Member returns the knowledge of a target, with its state as of now.
 func (v *View) Member(now time.Time, target string) (Member, bool) {
 	m, ok := v.members[target]
@@ -105,7 +142,7 @@
 		return Member{}, false
 	}
 	member := *m
-	if member.State != StateGone && now.Sub(member.Made) > v.silence {
+	if member.State != StateGone && now.Sub(member.Made) > v.limit(target) {
 		member.State = StateLost
 	}
 	return member, true
--- /dev/null
+++ b/internal/fleet/membership/membership_digest.go
@@ -0,0 +1,148 @@
+package membership
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// digestItems bounds the reports in one digest.
+	digestItems = 10
+	// hotSends is the number of digests that carry a target's change of state.
+	hotSends = 12
+	// hintLife is the time after which a hint that nobody repeats is dropped.
+	hintLife = 10 * time.Second
+	// relayLife is the age of a report that is no longer passed on.
+	relayLife = 5 * time.Minute
+)
+
+// Digest is what an entry tells another one about targets.
+type Digest struct {
+	// Entry is the sender.
+	Entry string
+	// Reports are the sender's knowledge of some targets, each with its age.
+	Reports []Heartbeat
+	// Hints are targets that the platform lists as leaving.
+	Hints []Hint
+}
+
+// Hint is a target that the platform's list of instances shows as leaving.
+type Hint struct {
+	// Target is the name of the target.
+	Target string
+	// Age is the time since the list was read.
+	Age time.Duration
+}
+
+// Gossip chooses what an entry tells others. It is not safe for concurrent use.
+type Gossip struct {
+	view *View
+	// hot holds the number of digests that a changed target is still to go into.
+	hot map[string]int
+	// sent holds the time at which a target last went into a digest.
+	sent map[string]time.Time
+	// hints holds the time at which the list last showed a target as leaving.
+	hints map[string]time.Time
+}
+
+// NewGossip returns a Gossip about the targets of a view.
+func NewGossip(v *View) *Gossip {
+	return &Gossip{view: v, hot: map[string]int{}, sent: map[string]time.Time{}, hints: map[string]time.Time{}}
+}
+
+// Changed makes a target's state travel before all else.
+func (g *Gossip) Changed(target string) {
+	g.hot[target] = hotSends
+}
+
+// Urgent reports whether a change waits to be told.
+func (g *Gossip) Urgent() bool {
+	return len(g.hot) > 0
+}
+
+// Make returns the next digest: changes first, then what was not told for longest.
+// Without reports it holds hints only.
+func (g *Gossip) Make(now time.Time, entry string, reports bool) Digest {
+	d := Digest{Entry: entry}
+	if reports {
+		d.Reports = g.reports(now)
+	}
+	for _, target := range slices.Sorted(maps.Keys(g.hints)) {
+		if age := now.Sub(g.hints[target]); age < hintLife {
+			d.Hints = append(d.Hints, Hint{Target: target, Age: age})
+		}
+	}
+	return d
+}
+
+// reports returns the reports of the next digest.
+func (g *Gossip) reports(now time.Time) (reports []Heartbeat) {
+	for _, name := range g.choose(now) {
+		m, ok := g.view.Member(now, name)
+		if !ok {
+			delete(g.hot, name)
+			continue
+		}
+		h := m.Heartbeat
+		h.Age = now.Sub(m.Made)
+		// Prefixes and suspects travel first-hand only; they would outweigh all else.
+		h.Prefixes, h.Suspects = nil, nil
+		reports = append(reports, h)
+		g.told(now, name)
+	}
+	return reports
+}
+
+// told notes that a target went into a digest.
+func (g *Gossip) told(now time.Time, target string) {
+	g.sent[target] = now
+	if g.hot[target] > 1 {
+		g.hot[target]--
+		return
+	}
+	delete(g.hot, target)
+}
+
+// choose returns the names of the next digest.
+func (g *Gossip) choose(now time.Time) []string {
+	var names []string
+	for name, m := range g.view.members {
+		if g.hot[name] > 0 || now.Sub(m.Made) < relayLife && m.Made.After(g.sent[name]) {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(g.hot[b], g.hot[a]), g.sent[a].Compare(g.sent[b]), cmp.Compare(a, b))
+	})
+	return names[:min(len(names), digestItems)]
+}
+
+// Hint takes in what the list of instances said at a time that is age ago.
+func (g *Gossip) Hint(now time.Time, h Hint) {
+	if at := now.Add(-h.Age); at.After(g.hints[h.Target]) {
+		g.hints[h.Target] = at
+	}
+}
+
+// Hinted reports whether the platform is known to list a target as leaving.
+func (g *Gossip) Hinted(now time.Time, target string) bool {
+	at, ok := g.hints[target]
+	return ok && now.Sub(at) < hintLife
+}
+
+// Expire drops old hints and what is told about targets that are no longer known.
+func (g *Gossip) Expire(now time.Time) {
+	for target, at := range g.hints {
+		if now.Sub(at) >= hintLife {
+			delete(g.hints, target)
+		}
+	}
+	for target := range g.sent {
+		if g.view.members[target] == nil {
+			delete(g.sent, target)
+			delete(g.hot, target)
+		}
+	}
+}
--- a/internal/process/entryd/entryd.go
+++ b/internal/process/entryd/entryd.go
@@ -16,12 +16,8 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/wire/message"
 )
 
-const (
-	// tickInterval is the time between two ticks of the core.
-	tickInterval = 20 * time.Millisecond
-	// silentBeats is the number of missed heartbeats after which a target counts as lost.
-	silentBeats = 6
-)
+// tickInterval is the time between two ticks of the core.
+const tickInterval = 20 * time.Millisecond
 
 // Process runs one entry.
 type Process struct {
@@ -40,6 +36,8 @@
 	attempts map[string]attempt
 	// watches holds the cancel functions of heartbeat streams by address; guarded by mu.
 	watches map[netip.AddrPort]context.CancelFunc
+	// beat is the wanted time between heartbeats; guarded by mu.
+	beat time.Duration
 	// exited is set when exit was closed; guarded by mu.
 	exited bool
 }
@@ -64,7 +62,7 @@
 		exit: make(chan struct{}),
 		core: entry.New(entry.Options{
 			Name: o.Settings.Name, Centre: o.Settings.Centre, Random: o.Random,
-			Silence: silentBeats * time.Duration(o.Settings.Beat),
+			Beat: time.Duration(o.Settings.Beat),
 		}),
 		replies:  map[string]*reply{},
 		attempts: map[string]attempt{},
@@ -98,6 +96,8 @@
 	group.Go(func() error { return p.ServeHTTP(work, callers, p.callers()) })
 	group.Go(func() error { p.Follow(work, p.accept); return nil })
 	group.Go(func() error { p.tick(work); return nil })
+	group.Go(func() error { p.exchangeAll(work); return nil })
+	group.Go(func() error { p.ReadInstances(work, p.hint); return nil })
 	group.Go(func() error {
 		defer cancel()
 		return p.await(ctx, work)
--- a/internal/process/entryd/entryd_slots.go
+++ b/internal/process/entryd/entryd_slots.go
@@ -89,6 +89,7 @@
 // watch replaces the set of heartbeat streams; mu is held.
 func (p *Process) watch(w *entry.Watch) {
 	wanted := map[netip.AddrPort]bool{}
+	p.beat = w.Beat
 	for _, address := range w.Targets {
 		wanted[address] = true
 		if p.watches[address] != nil {
@@ -128,7 +129,9 @@
 		return err
 	}
 	defer conn.Close()
-	stream, err := message.NewDRPCSlotClient(conn).Watch(ctx, &message.Subscription{Entry: p.Settings.Name})
+	stream, err := message.NewDRPCSlotClient(conn).Watch(ctx, &message.Subscription{
+		Entry: p.Settings.Name, Beat: p.interval().Microseconds(),
+	})
 	if err != nil {
 		return err
 	}
@@ -147,5 +150,12 @@
 
 // patience is the time without a heartbeat after which a stream counts as silent.
 func (p *Process) patience() time.Duration {
-	return max(2*time.Duration(p.Settings.Beat), time.Duration(p.Settings.Ping))
+	return max(2*p.interval(), time.Duration(p.Settings.Ping))
+}
+
+// interval is the wanted time between heartbeats.
+func (p *Process) interval() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(p.beat, time.Duration(p.Settings.Beat))
 }
--- a/internal/process/slotd/slotd.go
+++ b/internal/process/slotd/slotd.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/dragonflydeal/dragonflydeal/internal/base/chart"
 	"github.com/dragonflydeal/dragonflydeal/internal/core/slot"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
 	"github.com/dragonflydeal/dragonflydeal/internal/process/node"
@@ -34,6 +35,10 @@
 	streams map[uint64]*stream
 	// runs holds the cancel functions of running requests; guarded by mu.
 	runs map[string]context.CancelFunc
+	// moved is closed at the next change of state, or nil when nobody waits; guarded by mu.
+	moved chan struct{}
+	// state is the target's state as last announced; guarded by mu.
+	state chart.State
 	// last is the number of the newest stream; guarded by mu.
 	last uint64
 	// exited is set when exit was closed; guarded by mu.
@@ -153,6 +158,7 @@
 	for _, a := range p.core.Handle(p.Now(), e) {
 		p.act(a)
 	}
+	p.announce()
 }
 
 // act does one action; mu is held, so it must not block.
--- a/internal/process/slotd/slotd_engine.go
+++ b/internal/process/slotd/slotd_engine.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/core/slot"
-	"github.com/dragonflydeal/dragonflydeal/internal/fleet/membership"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
 )
 
@@ -26,14 +25,6 @@
 	readSize    = 32 << 10
 )
 
-// beat returns the next heartbeat.
-func (p *Process) beat() *membership.Heartbeat {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	h := p.core.Beat()
-	return &h
-}
-
 // poll reads the engine's load reports until the context ends.
 func (p *Process) poll(ctx context.Context) {
 	ticker := time.NewTicker(pollInterval)
--- a/internal/process/slotd/slotd_server.go
+++ b/internal/process/slotd/slotd_server.go
@@ -1,7 +1,6 @@
 package slotd
 
 import (
-	"errors"
 	"sync"
 	"time"
 
@@ -93,22 +92,3 @@
 	p.mu.Unlock()
 	p.handle(slot.Event{Detach: &slot.Detach{ID: id, Stream: number}})
 }
-
-// Watch streams the target's heartbeats until the process ends.
-func (s *server) Watch(_ *message.Subscription, out message.DRPCSlot_WatchStream) error {
-	p := s.process
-	ticker := time.NewTicker(time.Duration(p.Settings.Beat))
-	defer ticker.Stop()
-	for {
-		if err := out.Send(message.FromHeartbeat(p.beat())); err != nil {
-			return err
-		}
-		select {
-		case <-out.Context().Done():
-			return out.Context().Err()
-		case <-p.exit:
-			return errors.Join(out.Send(message.FromHeartbeat(p.beat())), out.CloseSend())
-		case <-ticker.C:
-		}
-	}
-}
