--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -43,8 +43,9 @@
 	subset membership.Subset
 	// beat is the configured time between heartbeats.
 	beat time.Duration
-	// stopping is set by the stop event and never cleared.
-	stopping bool
+	// heirs holds the successors of homes that left by the homes' incarnation.
+	heirs map[uint64]heir
+	shutdown
 }
 
 // Options are the inputs of New.
@@ -57,6 +58,8 @@
 	Random *rand.Rand
 	// Beat is the time between heartbeats.
 	Beat time.Duration
+	// Drain is the time after a stop in which new requests are still served.
+	Drain time.Duration
 }
 
 // New returns a core that knows no configuration yet.
@@ -70,10 +73,12 @@
 		failed:    map[string]bool{},
 		silent:    map[string]bool{},
 		beat:      o.Beat,
+		shutdown:  shutdown{drain: o.Drain},
 		picker:    route.NewPicker(route.Options{Random: o.Random}),
 		random:    o.Random,
 		exchanges: map[string]*exchange{},
 		flight:    map[string]int{},
+		heirs:     map[uint64]heir{},
 	}
 }
 
@@ -81,7 +86,7 @@
 func (c *Core) Handle(now time.Time, e Event) []Action {
 	switch {
 	case e.Arrival != nil:
-		return c.arrive(now, e.Arrival)
+		return honest(e.Arrival, c.arrive(now, e.Arrival))
 	case e.Chunk != nil:
 		return c.receive(now, e.Chunk)
 	case e.Broken != nil:
@@ -99,10 +104,9 @@
 	case e.Peer != nil:
 		return c.judge(e.Peer)
 	case e.Stop != nil:
-		c.stopping = true
-		return c.settle()
+		return c.stop(now)
 	case e.Tick != nil:
-		return append(c.notice(now), c.expire(now)...)
+		return c.tick(now)
 	}
 	return nil
 }
@@ -112,6 +116,11 @@
 	return c.configuration != nil && !c.stopping
 }
 
+// Stopping reports whether a graceful shutdown has begun.
+func (c *Core) Stopping() bool {
+	return c.stopping
+}
+
 // Revision returns the configuration revision in force, or zero.
 func (c *Core) Revision() int64 {
 	if c.configuration == nil {
--- a/internal/core/entry/entry_fleet.go
+++ b/internal/core/entry/entry_fleet.go
@@ -68,6 +68,7 @@
 	if !c.view.Accept(now, h) {
 		return nil
 	}
+	c.inherit(now, &h)
 	if known && before.State == h.State && before.Incarnation == h.Incarnation {
 		return nil
 	}
--- a/internal/process/entryd/entryd.go
+++ b/internal/process/entryd/entryd.go
@@ -62,7 +62,7 @@
 		exit: make(chan struct{}),
 		core: entry.New(entry.Options{
 			Name: o.Settings.Name, Centre: o.Settings.Centre, Random: o.Random,
-			Beat: time.Duration(o.Settings.Beat),
+			Beat: time.Duration(o.Settings.Beat), Drain: time.Duration(o.Settings.Drain),
 		}),
 		replies:  map[string]*reply{},
 		attempts: map[string]attempt{},
@@ -93,7 +93,7 @@
 	group, work := errgroup.WithContext(work)
 	group.Go(func() error { return p.ServePeers(work, peers) })
 	group.Go(func() error { return p.ServeHTTP(work, operators, p.Operators(p.probes())) })
-	group.Go(func() error { return p.ServeHTTP(work, callers, p.callers()) })
+	group.Go(func() error { return p.ServeHTTP(work, callers, p.turnAway(p.callers())) })
 	group.Go(func() error { p.Follow(work, p.accept); return nil })
 	group.Go(func() error { p.tick(work); return nil })
 	group.Go(func() error { p.exchangeAll(work); return nil })
@@ -102,34 +102,10 @@
 		defer cancel()
 		return p.await(ctx, work)
 	})
-	p.Log.Info("start", "role", "entry", "name", p.Settings.Name)
+	p.Log.Info("start", "role", "entry")
 	return group.Wait()
 }
 
-// await stops the core when asked to and returns when it has finished or the stop limit is over.
-func (p *Process) await(stop, work context.Context) error {
-	select {
-	case <-work.Done():
-		return nil
-	case <-stop.Done():
-	}
-	p.Log.Info("stop", "role", "entry", "name", p.Settings.Name)
-	drain := time.NewTimer(time.Duration(p.Settings.Drain))
-	defer drain.Stop()
-	limit := time.NewTimer(time.Duration(p.Settings.Stop))
-	defer limit.Stop()
-	p.handle(entry.Event{Stop: &entry.Stop{}})
-	select {
-	case <-p.exit:
-	case <-limit.C:
-		p.Log.Warn("stop limit", "name", p.Settings.Name, "cut", p.status().Requests)
-		return nil
-	}
-	// The platform's balancer needs this time to see that the entry is not ready.
-	<-drain.C
-	return nil
-}
-
 func (p *Process) probes() node.Probes {
 	return node.Probes{
 		Ready: func() bool {
--- a/internal/process/slotd/slotd.go
+++ b/internal/process/slotd/slotd.go
@@ -25,6 +25,8 @@
 	*node.Node
 	// client reaches the engine.
 	client *http.Client
+	// once reaches the engine for non-idempotent calls, each over a connection of its own.
+	once *http.Client
 	// exit is closed when the core has nothing in progress after a stop.
 	exit chan struct{}
 
@@ -60,7 +62,8 @@
 	limits.Announce = time.Duration(o.Settings.Drain)
 	return &Process{
 		Node:    node.New(o.Options),
-		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxEngineConns, IdleConnTimeout: engineIdle}},
+		client:  newClient(true),
+		once:    newClient(false),
 		exit:    make(chan struct{}),
 		core:    slot.New(slot.Options{Name: o.Settings.Name, Random: o.Random, Limits: limits}),
 		streams: map[uint64]*stream{},
@@ -94,7 +97,7 @@
 		defer cancel()
 		return p.await(ctx, work)
 	})
-	p.Log.Info("start", "role", "slot", "name", p.Settings.Name, "incarnation", p.core.Incarnation())
+	p.Log.Info("start", "role", "slot", "incarnation", p.core.Incarnation())
 	return group.Wait()
 }
 
@@ -105,14 +108,14 @@
 		return nil
 	case <-stop.Done():
 	}
-	p.Log.Info("stop", "role", "slot", "name", p.Settings.Name)
+	p.Log.Info("stop", "role", "slot")
 	p.handle(slot.Event{Stop: &slot.Stop{}})
 	timer := time.NewTimer(time.Duration(p.Settings.Stop))
 	defer timer.Stop()
 	select {
 	case <-p.exit:
 	case <-timer.C:
-		p.Log.Warn("stop limit", "name", p.Settings.Name, "cut", p.status().Running)
+		p.Log.Warn("stop limit", "cut", p.status().Running)
 	}
 	return nil
 }
