--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -10,6 +10,7 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/membership"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/route"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/suspect"
 )
 
 //go:embed request.chart
@@ -45,6 +46,7 @@
 	beat time.Duration
 	// heirs holds the successors of homes that left by the homes' incarnation.
 	heirs map[uint64]heir
+	crashes
 	shutdown
 }
 
@@ -79,6 +81,7 @@
 		exchanges: map[string]*exchange{},
 		flight:    map[string]int{},
 		heirs:     map[uint64]heir{},
+		crashes:   crashes{book: suspect.NewBook(), spread: silentBeats * o.Beat / 2},
 	}
 }
 
--- a/internal/core/entry/entry_fleet.go
+++ b/internal/core/entry/entry_fleet.go
@@ -69,6 +69,10 @@
 		return nil
 	}
 	c.inherit(now, &h)
+	c.learn(now, before, h)
+	if !slices.Equal(before.Suspects, h.Suspects) || !slices.Equal(before.Convicted, h.Convicted) || !slices.Equal(before.Cleared, h.Cleared) {
+		c.gossip.Changed(h.Target)
+	}
 	if known && before.State == h.State && before.Incarnation == h.Incarnation {
 		return nil
 	}
--- a/internal/core/entry/entry_stop.go
+++ b/internal/core/entry/entry_stop.go
@@ -44,7 +44,8 @@
 
 // tick acts on what has become due.
 func (c *Core) tick(now time.Time) []Action {
-	actions := append(c.notice(now), c.expire(now)...)
+	actions := append(c.notice(now), c.unhold(now)...)
+	actions = append(actions, c.expire(now)...)
 	return append(actions, c.close(now)...)
 }
 
--- a/internal/core/slot/slot.go
+++ b/internal/core/slot/slot.go
@@ -10,6 +10,7 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/membership"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/record"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/suspect"
 )
 
 //go:embed job.chart
@@ -45,14 +46,15 @@
 	kept []string
 	// held is the number of answer bytes in memory.
 	held int
-	// book holds the records of non-idempotent calls.
-	book *record.Book
+	// records holds the records of non-idempotent calls.
+	records *record.Book
 	// swept is the time of the newest search for expired records.
 	swept time.Time
 	// queue holds the IDs of jobs that wait for the engine, in order.
 	queue []string
 	// running is the number of jobs at the engine; it is at most the target's width.
 	running int
+	crashes
 	// limits bound what is kept.
 	limits Limits
 	// announced is the time from which the stop was announced to the entries.
@@ -107,7 +109,8 @@
 		state:       membership.Chart.Start,
 		jobs:        map[string]*job{},
 		active:      map[string]*job{},
-		book:        record.NewBook(record.Options{Home: o.Name, Incarnation: incarnation, Limit: o.Limits.Records}),
+		records:     record.NewBook(record.Options{Home: o.Name, Incarnation: incarnation, Limit: o.Limits.Records}),
+		crashes:     crashes{book: suspect.NewBook()},
 		limits:      o.Limits,
 	}
 }
@@ -161,8 +164,9 @@
 }
 
 // Beat returns the next heartbeat.
-func (c *Core) Beat() membership.Heartbeat {
+func (c *Core) Beat(now time.Time) membership.Heartbeat {
 	c.sequence++
+	verdicts := c.book.Report(now)
 	return membership.Heartbeat{
 		Target:      c.name,
 		Incarnation: c.incarnation,
@@ -173,6 +177,9 @@
 		Width:       c.target.Width,
 		Revision:    c.Revision(),
 		Prefixes:    c.prefixes,
+		Suspects:    verdicts.Suspected,
+		Cleared:     verdicts.Cleared,
+		Convicted:   verdicts.Convicted,
 	}
 }
 
@@ -226,9 +233,9 @@
 
 // report takes in the engine's load report.
 func (c *Core) report(now time.Time, r *Report) []Action {
-	c.alive = r.Alive
+	c.alive = r.Alive && c.revived()
 	c.prefixes = r.Prefixes
-	if !r.Alive && c.state == membership.StateServing {
+	if !c.alive && c.state == membership.StateServing {
 		return c.signal("lost")
 	}
 	return append(c.open(), c.admit(now)...)
--- a/internal/core/slot/slot_record.go
+++ b/internal/core/slot/slot_record.go
@@ -14,7 +14,7 @@
 
 // arriveOnce serves a request whose key allows one run at most.
 func (c *Core) arriveOnce(now time.Time, a *Arrival) []Action {
-	verdict := c.book.Judge(now, a.Key, a.Workspace, a.Fingerprint)
+	verdict := c.records.Judge(now, a.Key, a.Workspace, a.Fingerprint)
 	switch verdict {
 	case record.Free:
 		return c.openOnce(now, a)
@@ -49,11 +49,11 @@
 	if a.Lookup || a.Offset > 0 {
 		return refuseUnknown(a)
 	}
-	if refusal := c.checkAdmission(a); refusal != nil {
-		c.book.Close(a.Key, a.Fingerprint)
+	if refusal := c.checkAdmission(now, a); refusal != nil {
+		c.records.Close(a.Key, a.Fingerprint)
 		return refusal
 	}
-	if !c.book.Open(a.Key, a.Fingerprint) {
+	if !c.records.Open(a.Key, a.Fingerprint) {
 		return refuse(a, call.OutcomeNotRun, http.StatusTooManyRequests, "the workspace has too many recent calls at this target", defaultRetry)
 	}
 	return c.enqueue(now, a)
@@ -91,7 +91,7 @@
 		return
 	}
 	c.swept = now
-	for _, text := range c.book.Expire(now) {
+	for _, text := range c.records.Expire(now) {
 		j := c.jobs[text]
 		switch {
 		case j == nil:
--- a/internal/fleet/membership/membership_digest.go
+++ b/internal/fleet/membership/membership_digest.go
@@ -87,8 +87,8 @@
 		}
 		h := m.Heartbeat
 		h.Age = now.Sub(m.Made)
-		// Prefixes and suspects travel first-hand only; they would outweigh all else.
-		h.Prefixes, h.Suspects = nil, nil
+		// Prefixes travel first-hand only; they would outweigh all else.
+		h.Prefixes = nil
 		reports = append(reports, h)
 		g.told(now, name)
 	}
--- a/internal/process/slotd/slotd_beat.go
+++ b/internal/process/slotd/slotd_beat.go
@@ -35,7 +35,7 @@
 func (p *Process) beat() (*membership.Heartbeat, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h := p.core.Beat()
+	h := p.core.Beat(p.Now())
 	if p.moved == nil {
 		p.moved = make(chan struct{})
 	}
--- a/internal/process/slotd/slotd_engine.go
+++ b/internal/process/slotd/slotd_engine.go
@@ -79,6 +79,9 @@
 // run calls the engine and passes its answer to the core.
 func (p *Process) run(ctx context.Context, r *slot.Run) {
 	result := p.call(ctx, r)
+	if result.Outcome == call.OutcomeFailed && ctx.Err() == nil {
+		result.Crashed = !p.read(p.ctx).Alive
+	}
 	p.mu.Lock()
 	cancel := p.runs[r.ID]
 	delete(p.runs, r.ID)
