Prove drains; forgive silence during an entry's own pause

Cause: an entry that was paused for a second took all targets for lost when it woke, because it had not heard them meanwhile, and gave up answers that it could have resumed; a run could take an idle engine connection that had gone silent. Ruled out: more attempts (the entry gave up before the first one). Change: the core notices its own pause and counts silence from its end; runs use connections of their own; an answer of an idempotent call whose engine says nothing for 3 s after its first byte fails visibly; the load poll tries a second connection.

--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -44,6 +44,8 @@
 	subset membership.Subset
 	// beat is the configured time between heartbeats.
 	beat time.Duration
+	// last is the time of the newest event.
+	last time.Time
 	// heirs holds the successors of homes that left by the homes' incarnation.
 	heirs map[uint64]heir
 	crashes
@@ -87,6 +89,7 @@
 
 // Handle takes one event and returns what is to be done, in order.
 func (c *Core) Handle(now time.Time, e Event) []Action {
+	c.pulse(now)
 	switch {
 	case e.Arrival != nil:
 		return honest(e.Arrival, c.arrive(now, e.Arrival))
--- a/internal/core/entry/entry_fleet.go
+++ b/internal/core/entry/entry_fleet.go
@@ -15,6 +15,9 @@
 	silentBeats = 6
 	// relayedSilence is the age at which a report that came by digest proves nothing.
 	relayedSilence = 10 * time.Minute
+	// pauseLimit is the time between two events from which the process counts as having been paused;
+	// it is several times the interval between ticks.
+	pauseLimit = 250 * time.Millisecond
 )
 
 // configure puts a newer revision in force.
@@ -31,6 +34,14 @@
 	return c.watch()
 }
 
+// pulse notices that the process was paused: what it did not hear meanwhile proves nothing.
+func (c *Core) pulse(now time.Time) {
+	if !c.last.IsZero() && now.Sub(c.last) > pauseLimit {
+		c.view.Wake(now)
+	}
+	c.last = now
+}
+
 // watch chooses the targets whose heartbeats are wanted first-hand.
 func (c *Core) watch() []Action {
 	c.subset = membership.Watched(c.configuration, c.name, c.centre, c.beat, func(entry string) bool { return c.failed[entry] })
--- /dev/null
+++ b/internal/core/slot/slot_open.go
@@ -0,0 +1,27 @@
+package slot
+
+import (
+	"maps"
+	"slices"
+)
+
+// Open is a request in progress.
+type Open struct {
+	// ID is the request's identity.
+	ID string
+	// Workspace is the workspace of the request.
+	Workspace string
+	// State is the state of the job.
+	State string
+}
+
+// Open returns the requests in progress in the order of their IDs.
+func (c *Core) Open() (open []Open) {
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		j := c.jobs[id]
+		if j.ended.IsZero() || len(j.viewers) > 0 {
+			open = append(open, Open{ID: id, Workspace: j.request.Workspace, State: string(j.state)})
+		}
+	}
+	return open
+}
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -71,6 +71,8 @@
 	silence time.Duration
 	// relayed is the age from which a report that came by digest proves nothing.
 	relayed time.Duration
+	// woken is the end of the receiver's latest pause; silence before it proves nothing.
+	woken time.Time
 	// direct reports whether a target's heartbeats come first-hand.
 	direct func(target string) bool
 }
@@ -97,6 +99,19 @@
 	v.silence = silence
 }
 
+// Wake notes that the receiver itself has been paused until now, so that it could not hear anything.
+func (v *View) Wake(now time.Time) {
+	v.woken = now
+}
+
+// heard returns the time from which a member's silence counts.
+func (v *View) heard(m *Member) time.Time {
+	if v.woken.After(m.Made) {
+		return v.woken
+	}
+	return m.Made
+}
+
 // Direct reports whether a target's heartbeats come first-hand.
 func (v *View) Direct(target string) bool {
 	return v.direct(target)
@@ -146,7 +161,7 @@
 		return Member{}, false
 	}
 	member := *m
-	if member.State != StateGone && now.Sub(member.Made) > v.limit(target) {
+	if member.State != StateGone && now.Sub(v.heard(&member)) > v.limit(target) {
 		member.State = StateLost
 	}
 	return member, true
--- a/internal/process/slotd/slotd.go
+++ b/internal/process/slotd/slotd.go
@@ -25,8 +25,8 @@
 	*node.Node
 	// client reaches the engine.
 	client *http.Client
-	// once reaches the engine for non-idempotent calls, each over a connection of its own.
-	once *http.Client
+	// fresh reaches the engine for runs, each over a connection of its own, because an idle one may have gone silent.
+	fresh *http.Client
 	// exit is closed when the core has nothing in progress after a stop.
 	exit chan struct{}
 
@@ -63,7 +63,7 @@
 	return &Process{
 		Node:    node.New(o.Options),
 		client:  newClient(true),
-		once:    newClient(false),
+		fresh:   newClient(false),
 		exit:    make(chan struct{}),
 		core:    slot.New(slot.Options{Name: o.Settings.Name, Random: o.Random, Limits: limits}),
 		streams: map[uint64]*stream{},
@@ -101,25 +101,6 @@
 	return group.Wait()
 }
 
-// await stops the core when asked to and returns when it has finished or the stop limit is over.
-func (p *Process) await(stop, work context.Context) error {
-	select {
-	case <-work.Done():
-		return nil
-	case <-stop.Done():
-	}
-	p.Log.Info("stop", "role", "slot")
-	p.handle(slot.Event{Stop: &slot.Stop{}})
-	timer := time.NewTimer(time.Duration(p.Settings.Stop))
-	defer timer.Stop()
-	select {
-	case <-p.exit:
-	case <-timer.C:
-		p.Log.Warn("stop limit", "cut", p.status().Running)
-	}
-	return nil
-}
-
 func (p *Process) probes() node.Probes {
 	return node.Probes{
 		Ready: func() bool {
--- a/internal/process/slotd/slotd_engine.go
+++ b/internal/process/slotd/slotd_engine.go
@@ -24,6 +24,8 @@
 	// pollTimeout bounds one read of the load report.
 	pollTimeout = time.Second
 	readSize    = 32 << 10
+	// engineSilence is the time without a byte in the middle of an answer after which the connection counts as silent.
+	engineSilence = 3 * time.Second
 )
 
 // poll reads the engine's load reports until the context ends.
@@ -32,6 +34,11 @@
 	defer ticker.Stop()
 	for {
 		report := p.read(ctx)
+		if !report.Alive {
+			// The connection may have gone silent while new ones work.
+			p.client.CloseIdleConnections()
+			report = p.read(ctx)
+		}
 		if ctx.Err() != nil {
 			return
 		}
@@ -105,12 +112,12 @@
 	if !r.Due(p.Now()) {
 		return &slot.Result{ID: r.ID, Outcome: call.OutcomeNotRun, Reason: "the deadline passed"}
 	}
-	response, err := p.clientOf(r).Do(request)
+	response, err := p.fresh.Do(request)
 	if err != nil {
 		return &slot.Result{ID: r.ID, Outcome: outcomeOf(connected.Load()), Reason: err.Error()}
 	}
 	defer response.Body.Close()
-	return p.copy(r, response)
+	return p.copy(r, response, cancel)
 }
 
 // body hides the type of a reader, so that no part of the HTTP client can rewind and repeat it.
@@ -133,14 +140,6 @@
 	return request, nil
 }
 
-// clientOf returns the client for a run: one whose connections are new for each non-idempotent call.
-func (p *Process) clientOf(r *slot.Run) *http.Client {
-	if r.Request.Key != "" {
-		return p.once
-	}
-	return p.client
-}
-
 // newClient returns a client of the engine that follows no redirect.
 func newClient(keep bool) *http.Client {
 	return &http.Client{
@@ -165,8 +164,19 @@
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
 
-// copy passes the answer's bytes to the core as they come.
-func (p *Process) copy(r *slot.Run, response *http.Response) *slot.Result {
+// newSilence returns a timer that gives up on a silent connection. It starts to run at the first byte, because the
+// time to it depends on the engine's work; non-idempotent calls have until their deadline.
+func newSilence(r *slot.Run, cancel context.CancelFunc) *time.Timer {
+	if r.Request.Key != "" {
+		cancel = func() {}
+	}
+	silence := time.AfterFunc(engineSilence, cancel)
+	silence.Stop()
+	return silence
+}
+
+// copy passes the answer's bytes to the core as they come; an engine that goes silent between them is given up.
+func (p *Process) copy(r *slot.Run, response *http.Response, cancel context.CancelFunc) *slot.Result {
 	media := response.Header.Get("Content-Type")
 	if !framed(response) {
 		return &slot.Result{
@@ -176,8 +186,11 @@
 	}
 	// The core copies what it keeps, so that one read buffer serves the whole answer.
 	data := make([]byte, readSize)
+	silence := newSilence(r, cancel)
+	defer silence.Stop()
 	for {
 		n, err := response.Body.Read(data)
+		silence.Reset(engineSilence)
 		if n > 0 {
 			p.handle(slot.Event{Output: &slot.Output{ID: r.ID, Data: data[:n], Status: response.StatusCode, Media: media}})
 		}
