--- a/internal/core/entry/entry_request.go
+++ b/internal/core/entry/entry_request.go
@@ -61,7 +61,7 @@
 
 // arrive checks a request and starts its first attempt.
 func (c *Core) arrive(now time.Time, a *Arrival) []Action {
-	if c.configuration == nil || c.stopping {
+	if c.configuration == nil || c.drained {
 		return refuse(a.ID, http.StatusServiceUnavailable, "this entry is starting or stopping", defaultRetry)
 	}
 	if _, ok := c.configuration.Workspace(a.Workspace); !ok {
@@ -300,11 +300,3 @@
 	}
 	return actions
 }
-
-// settle lets a stopping process exit once nothing is in progress.
-func (c *Core) settle() []Action {
-	if !c.stopping || len(c.exchanges) > 0 {
-		return nil
-	}
-	return []Action{{Exit: &Exit{}}}
-}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -24,7 +24,7 @@
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 60 * time.Second
 	headerSize    = 16 << 10
-	// closeTimeout bounds the flushing of written answers at the end of a process.
+	// closeTimeout bounds the time in which a stopped server ends its connections.
 	closeTimeout = time.Second
 )
 
@@ -113,7 +113,7 @@
 	return err
 }
 
-// shutdown lets written answers reach their callers, then closes what is left.
+// shutdown lets the last bytes of finished answers leave, then closes what is left.
 func shutdown(server *http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
