Deliver the messages of the fake power site by tick, with all 100 schedules again

Cause: TestCapHolds sorted all messages on their way at each step (a third of its time), which made it too slow under -race; the cut to 40 schedules is taken back.

--- a/internal/site/power/ledger_test.go
+++ b/internal/site/power/ledger_test.go
@@ -14,7 +14,7 @@
 }
 
 const (
-	schedules = 40
+	schedules = 100
 	steps     = 1500
 	// longest is that of a request in milliseconds; some are too long for a loan.
 	longest = 5000
--- a/internal/site/power/site_test.go
+++ b/internal/site/power/site_test.go
@@ -18,12 +18,13 @@
 
 // fakeSite drives ledgers over a faulty network, with engines whose work always ends by its deadline.
 type fakeSite struct {
-	random  *rand.Rand
-	now     time.Time
-	cap     int64
-	limits  Limits
-	nodes   []*fakeNode
-	packets []packet
+	random *rand.Rand
+	now    time.Time
+	cap    int64
+	limits Limits
+	nodes  []*fakeNode
+	// packets holds the messages on their way by the number of the tick in which they arrive.
+	packets map[int64][]packet
 	// loss, repeat and late are chances in percent for each message.
 	loss, repeat, late int
 	// manual leaves the start of work to the driver of the site.
@@ -33,7 +34,6 @@
 }
 
 type packet struct {
-	at          time.Time
 	from, to    int
 	incarnation uint64
 	message     Message
@@ -62,7 +62,7 @@
 }
 
 func newFakeSite(seed uint64, shares []int64, width int, limits Limits) *fakeSite {
-	s := &fakeSite{random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(0, 0), limits: limits}
+	s := &fakeSite{random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(0, 0), limits: limits, packets: map[int64][]packet{}}
 	for _, share := range shares {
 		s.cap += share
 		s.nodes = append(s.nodes, &fakeNode{width: width, plan: Plan{Share: share, Idle: fakeIdle, Draw: fakeDraw}, done: map[int]int{}})
@@ -107,7 +107,8 @@
 			if s.chance(s.late) == 1 {
 				delay = time.Duration(s.random.IntN(30_000)) * time.Millisecond
 			}
-			s.packets = append(s.packets, packet{s.now.Add(delay), from, to, s.nodes[from].incarnation, v.Message})
+			at := s.ticks() + 1 + int64(delay/tick)
+			s.packets[at] = append(s.packets[at], packet{from, to, s.nodes[from].incarnation, v.Message})
 		}
 	}
 }
@@ -137,20 +138,20 @@
 	}
 }
 
+// ticks returns the number of the present tick.
+func (s *fakeSite) ticks() int64 {
+	return int64(s.now.Sub(time.Unix(0, 0)) / tick)
+}
+
 func (s *fakeSite) deliver() {
-	slices.SortStableFunc(s.packets, func(a, b packet) int { return a.at.Compare(b.at) })
-	due := 0
-	for due < len(s.packets) && !s.packets[due].at.After(s.now) {
-		due++
-	}
-	ready := slices.Clone(s.packets[:due])
-	s.packets = slices.Clone(s.packets[due:])
+	now := s.ticks()
+	ready := s.packets[now]
+	delete(s.packets, now)
 	for _, p := range ready {
 		n := s.nodes[p.to]
 		if n.frozen || s.reachable != nil && !s.reachable(p.from, p.to) {
 			// What a frozen or cut-off process was sent waits for it.
-			p.at = s.now.Add(tick)
-			s.packets = append(s.packets, p)
+			s.packets[now+1] = append(s.packets[now+1], p)
 			continue
 		}
 		s.send(p.to, n.ledger.Receive(s.now, fmt.Sprint(p.from), p.incarnation, p.message, s.load(n)))
