--- a/internal/process/slotd/slotd_engine.go
+++ b/internal/process/slotd/slotd_engine.go
@@ -28,6 +28,9 @@
 	engineSilence = 3 * time.Second
 )
 
+// errEngineSilent reports an engine that stopped in the middle of an answer.
+var errEngineSilent = errors.New("the engine went silent in the middle of the answer")
+
 // poll reads the engine's load reports until the context ends.
 func (p *Process) poll(ctx context.Context) {
 	ticker := time.NewTicker(pollInterval)
@@ -103,6 +106,8 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
+	ctx, giveUp := context.WithCancelCause(ctx)
+	defer giveUp(nil)
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	request, err := p.request(ctx, r)
@@ -117,7 +122,11 @@
 		return &slot.Result{ID: r.ID, Outcome: outcomeOf(connected.Load()), Reason: err.Error()}
 	}
 	defer response.Body.Close()
-	return p.copy(r, response, cancel)
+	result := p.copy(r, response, giveUp)
+	if cause := context.Cause(ctx); errors.Is(cause, errEngineSilent) {
+		result.Reason = cause.Error()
+	}
+	return result
 }
 
 // body hides the type of a reader, so that no part of the HTTP client can rewind and repeat it.
@@ -166,17 +175,18 @@
 
 // newSilence returns a timer that gives up on a silent connection. It starts to run at the first byte, because the
 // time to it depends on the engine's work; non-idempotent calls have until their deadline.
-func newSilence(r *slot.Run, cancel context.CancelFunc) *time.Timer {
-	if r.Request.Key != "" {
-		cancel = func() {}
-	}
-	silence := time.AfterFunc(engineSilence, cancel)
+func newSilence(r *slot.Run, giveUp context.CancelCauseFunc) *time.Timer {
+	silence := time.AfterFunc(engineSilence, func() {
+		if r.Request.Key == "" {
+			giveUp(errEngineSilent)
+		}
+	})
 	silence.Stop()
 	return silence
 }
 
 // copy passes the answer's bytes to the core as they come; an engine that goes silent between them is given up.
-func (p *Process) copy(r *slot.Run, response *http.Response, cancel context.CancelFunc) *slot.Result {
+func (p *Process) copy(r *slot.Run, response *http.Response, giveUp context.CancelCauseFunc) *slot.Result {
 	media := response.Header.Get("Content-Type")
 	if !framed(response) {
 		return &slot.Result{
@@ -186,7 +196,7 @@
 	}
 	// The core copies what it keeps, so that one read buffer serves the whole answer.
 	data := make([]byte, readSize)
-	silence := newSilence(r, cancel)
+	silence := newSilence(r, giveUp)
 	defer silence.Stop()
 	for {
 		n, err := response.Body.Read(data)
