--- a/internal/wire/message/convert_peer.go
+++ b/internal/wire/message/convert_peer.go
@@ -12,6 +12,7 @@
 	return &Switch{
 		Group: m.Group, Kind: string(m.Kind), Attempt: m.Attempt, Lead: uint32(m.Lead), Rank: uint32(m.Rank),
 		Step: m.Step, Map: m.Map, Plan: m.Plan, Reason: m.Reason,
+		Token: m.Token, Sender: m.Sender, Receiver: m.Receiver, Loads: m.Loads, Latency: m.Latency,
 	}
 }
 
@@ -20,6 +21,7 @@
 	return &mapswitch.Message{
 		Group: m.Group, Kind: mapswitch.Kind(m.Kind), Attempt: m.Attempt, Lead: int(m.Lead), Rank: int(m.Rank),
 		Step: m.Step, Map: m.Map, Plan: m.Plan, Reason: m.Reason,
+		Token: m.Token, Sender: m.Sender, Receiver: m.Receiver, Loads: m.Loads, Latency: m.Latency,
 	}
 }
 
