--- a/internal/group/mapswitch/world_test.go
+++ b/internal/group/mapswitch/world_test.go
@@ -318,4 +318,3 @@
 	}
 	return out
 }
-
