Decode documents by a schema made once, with paths only for faults

Change: one schema for each document type; paths and offsets are worked out only for faults; plain texts are read without a JSON decoder. Ruled out: a second, lenient fast path, which could accept what the strict one refuses. The tests of the decoder are unchanged.

--- a/internal/base/document/decode.go
+++ b/internal/base/document/decode.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"reflect"
+	"strconv"
 	"strings"
 
 	"github.com/tailscale/hujson"
@@ -26,8 +27,8 @@
 	Unknown Faults
 
 	options Options
-	// offsets holds the offset of each value by its path.
-	offsets map[string]int
+	// root is the parsed document, or nil when it could not be parsed.
+	root *hujson.Value
 }
 
 // Options are the inputs of Decode.
@@ -42,7 +43,7 @@
 
 // Decode reads JSON with comments into a struct. Valid values are set even when others are faulty.
 func Decode(o Options, data []byte, into any) *Document {
-	d := &Document{options: o, offsets: map[string]int{}}
+	d := &Document{options: o}
 	if len(data) > o.Size {
 		problem := fmt.Sprintf("the document has %d bytes, the limit is %d", len(data), o.Size)
 		d.Faults = Faults{{File: o.File, Problem: problem, Fix: "remove what is not needed"}}
@@ -57,8 +58,10 @@
 		d.syntax(err)
 		return d
 	}
+	d.root = &root
 	w := &walker{Document: d, data: data}
-	w.value(&root, reflect.ValueOf(into).Elem(), "", "")
+	v := reflect.ValueOf(into).Elem()
+	w.value(&root, v, schemaOf(v.Type(), o.Keys), nil)
 	return d
 }
 
@@ -73,16 +76,35 @@
 
 // offset returns the place of a path, or of the nearest value that contains it.
 func (d *Document) offset(path string) int {
-	for {
-		if offset, ok := d.offsets[path]; ok {
-			return offset
+	v := d.root
+	if v == nil {
+		return 0
+	}
+	for _, step := range strings.FieldsFunc(path, func(r rune) bool { return r == '.' || r == '[' || r == ']' }) {
+		next := child(v, step)
+		if next == nil {
+			break
+		}
+		v = next
+	}
+	return v.StartOffset
+}
+
+// child returns the value of a key or an index, or nil.
+func child(v *hujson.Value, step string) *hujson.Value {
+	switch value := v.Value.(type) {
+	case *hujson.Object:
+		for i := range value.Members {
+			if name, ok := value.Members[i].Name.Value.(hujson.Literal); ok && name.String() == step {
+				return &value.Members[i].Value
+			}
 		}
-		i := strings.LastIndexAny(path, ".[")
-		if i < 0 {
-			return d.offsets[""]
+	case *hujson.Array:
+		if i, err := strconv.Atoi(step); err == nil && i >= 0 && i < len(value.Elements) {
+			return &value.Elements[i]
 		}
-		path = path[:i]
 	}
+	return nil
 }
 
 // fault adds a fault at an offset.
@@ -200,5 +222,27 @@
 
 // leaf decodes a literal into a value.
 func leaf(literal hujson.Literal, v reflect.Value) error {
+	plain, ok := plainText(literal)
+	switch {
+	case ok && v.Kind() == reflect.String && !isText(v):
+		v.SetString(string(plain))
+		return nil
+	case ok && isText(v):
+		return v.Addr().Interface().(encoding.TextUnmarshaler).UnmarshalText(plain)
+	}
 	return json.Unmarshal(literal, v.Addr().Interface())
 }
+
+// plainText returns the content of a string literal that has no escapes and only printable ASCII.
+func plainText(literal hujson.Literal) (content []byte, ok bool) {
+	if len(literal) < 2 || literal[0] != '"' {
+		return nil, false
+	}
+	content = literal[1 : len(literal)-1]
+	for _, b := range content {
+		if b < ' ' || b > '~' || b == '\\' || b == '"' {
+			return nil, false
+		}
+	}
+	return content, true
+}
--- a/internal/base/document/key.go
+++ b/internal/base/document/key.go
@@ -56,21 +56,6 @@
 	return "write for example " + k.Example
 }
 
-// outside returns what is wrong with a value that is not in the range, or an empty text.
-func (k *Key) outside(v reflect.Value) string {
-	number, ok := numberOf(v)
-	if !ok {
-		return ""
-	}
-	if least, ok := parseBound(v, k.Least); ok && number < least {
-		return fmt.Sprintf("the value is below %s", k.Least)
-	}
-	if most, ok := parseBound(v, k.Most); ok && number > most {
-		return fmt.Sprintf("the value is above %s", k.Most)
-	}
-	return ""
-}
-
 // numberOf returns a number that can be compared with a bound.
 func numberOf(v reflect.Value) (number float64, ok bool) {
 	switch {
@@ -84,12 +69,12 @@
 	return 0, false
 }
 
-// parseBound reads a bound in the unit of a value.
-func parseBound(v reflect.Value, text string) (bound float64, ok bool) {
+// parseBound reads a bound in the unit of a type.
+func parseBound(t reflect.Type, text string) (bound float64, ok bool) {
 	if text == "" {
 		return 0, false
 	}
-	if isText(v) {
+	if implementsText(t) {
 		d, err := time.ParseDuration(text)
 		return float64(d), err == nil
 	}
--- a/internal/base/document/walk.go
+++ b/internal/base/document/walk.go
@@ -14,34 +14,33 @@
 	data []byte
 }
 
-// value sets v from a parsed value; pattern is the path without indices.
-func (w *walker) value(parsed *hujson.Value, v reflect.Value, path, pattern string) {
-	w.offsets[path] = parsed.StartOffset
+// value sets v from a parsed value.
+func (w *walker) value(parsed *hujson.Value, v reflect.Value, s *schema, at *position) {
 	switch value := parsed.Value.(type) {
 	case *hujson.Object:
-		if v.Kind() != reflect.Struct || isText(v) {
-			w.wrong(parsed, v, path, pattern, "an object")
+		if v.Kind() != reflect.Struct || s.text {
+			w.wrong(parsed, v, s, at, "an object")
 			return
 		}
-		w.object(parsed, value, v, path, pattern)
+		w.object(parsed, value, v, s, at)
 	case *hujson.Array:
 		if v.Kind() != reflect.Slice {
-			w.wrong(parsed, v, path, pattern, "a list")
+			w.wrong(parsed, v, s, at, "a list")
 			return
 		}
-		w.list(value, v, path, pattern)
+		w.list(value, v, s, at)
 	case hujson.Literal:
-		w.literal(parsed, value, v, path, pattern)
+		w.literal(parsed, value, v, s, at)
 	}
 }
 
 // wrong adds a fault for a value of another type.
-func (w *walker) wrong(parsed *hujson.Value, v reflect.Value, path, pattern, found string) {
+func (w *walker) wrong(parsed *hujson.Value, v reflect.Value, s *schema, at *position, found string) {
 	fix := ""
-	if k := w.options.Keys.find(pattern); k != nil {
-		fix = k.fix()
+	if s.key != nil {
+		fix = s.key.fix()
 	}
-	w.fault(w.data, parsed.StartOffset, path, fix, "%s is wanted, not %s", wanted(v), found)
+	w.fault(w.data, parsed.StartOffset, at.String(), fix, "%s is wanted, not %s", wanted(v), found)
 }
 
 // wanted names the type of a value.
@@ -64,50 +63,53 @@
 }
 
 // object sets the fields of a struct.
-func (w *walker) object(parsed *hujson.Value, o *hujson.Object, v reflect.Value, path, pattern string) {
-	known := fields(v.Type())
-	seen := map[string]bool{}
+func (w *walker) object(parsed *hujson.Value, o *hujson.Object, v reflect.Value, s *schema, at *position) {
+	seen := make([]bool, len(s.known))
+	var unknown map[string]bool
 	for i := range o.Members {
 		m := &o.Members[i]
-		name := m.Name.Value.(hujson.Literal).String()
-		place := join(path, name)
-		f := fieldOf(known, name)
+		name := nameOf(m.Name.Value.(hujson.Literal))
+		place := &position{parent: at, name: name, index: -1}
+		f, known := s.byName[name]
 		switch {
-		case seen[name]:
-			w.fault(w.data, m.Name.StartOffset, place, "remove one of them", "the key is there twice")
-		case f == nil:
-			w.unknown(m.Name.StartOffset, known, name, place)
+		case known && seen[f] || unknown[name]:
+			w.fault(w.data, m.Name.StartOffset, place.String(), "remove one of them", "the key is there twice")
+		case !known:
+			w.unknown(m.Name.StartOffset, s.known, name, place)
+			if unknown == nil {
+				unknown = map[string]bool{}
+			}
+			unknown[name] = true
 		default:
-			w.value(&m.Value, v.FieldByIndex(f.field.Index), place, join(pattern, name))
+			seen[f] = true
+			w.value(&m.Value, v.FieldByIndex(s.known[f].field.Index), s.members[f], place)
 		}
-		seen[name] = true
 	}
-	w.missing(parsed, known, seen, path, pattern)
+	w.missing(parsed, s, seen, at)
 }
 
-// missing adds a fault for each required key that is not there.
-func (w *walker) missing(parsed *hujson.Value, known []field, seen map[string]bool, path, pattern string) {
-	for _, f := range known {
-		k := w.options.Keys.find(join(pattern, f.name))
-		if k == nil || !k.Required || seen[f.name] {
-			continue
-		}
-		fix := "add " + strconv.Quote(f.name) + ": " + k.Example
-		w.fault(w.data, parsed.StartOffset, join(path, f.name), fix, "the key is missing")
+// nameOf returns the text of a key.
+func nameOf(l hujson.Literal) string {
+	if content, ok := plainText(l); ok {
+		return string(content)
 	}
+	return l.String()
 }
 
-func fieldOf(known []field, name string) *field {
-	for i := range known {
-		if known[i].name == name {
-			return &known[i]
+// missing adds a fault for each required key that is not there.
+func (w *walker) missing(parsed *hujson.Value, s *schema, seen []bool, at *position) {
+	for i, f := range s.known {
+		k := s.members[i].key
+		if k == nil || !k.Required || seen[i] {
+			continue
 		}
+		fix := "add " + strconv.Quote(f.name) + ": " + k.Example
+		w.fault(w.data, parsed.StartOffset, join(at.String(), f.name), fix, "the key is missing")
 	}
-	return nil
 }
 
 // unknown adds a key that the type does not have, with the likely one.
-func (w *walker) unknown(offset int, known []field, name, path string) {
+func (w *walker) unknown(offset int, known []field, name string, at *position) {
 	if len(w.Unknown) == maxFaults {
 		return
 	}
@@ -119,41 +121,40 @@
 	if likely := Likely(name, names); likely != "" {
 		fix = "did you mean " + strconv.Quote(likely) + "?"
 	}
-	w.Unknown = append(w.Unknown, w.newFault(w.data, offset, path, fix, "the key is not known"))
+	w.Unknown = append(w.Unknown, w.newFault(w.data, offset, at.String(), fix, "the key is not known"))
 }
 
 // list sets a slice.
-func (w *walker) list(a *hujson.Array, v reflect.Value, path, pattern string) {
+func (w *walker) list(a *hujson.Array, v reflect.Value, s *schema, at *position) {
 	v.Set(reflect.MakeSlice(v.Type(), len(a.Elements), len(a.Elements)))
 	for i := range a.Elements {
-		w.value(&a.Elements[i], v.Index(i), path+"["+strconv.Itoa(i)+"]", pattern+"[]")
+		w.value(&a.Elements[i], v.Index(i), s.element, &position{parent: at, index: i})
 	}
 }
 
 // literal sets a leaf and checks its range.
-func (w *walker) literal(parsed *hujson.Value, l hujson.Literal, v reflect.Value, path, pattern string) {
+func (w *walker) literal(parsed *hujson.Value, l hujson.Literal, v reflect.Value, s *schema, at *position) {
 	kind := l.Kind()
-	text := isText(v) || v.Kind() == reflect.String
+	text := s.text || v.Kind() == reflect.String
 	switch {
 	case kind == 'n':
-		w.wrong(parsed, v, path, pattern, "null")
+		w.wrong(parsed, v, s, at, "null")
 		return
 	case text != (kind == '"') || v.Kind() == reflect.Struct && !text || v.Kind() == reflect.Slice:
-		w.wrong(parsed, v, path, pattern, string(l))
+		w.wrong(parsed, v, s, at, string(l))
 		return
 	}
 	if err := leaf(l, v); err != nil {
-		w.wrong(parsed, v, path, pattern, string(l))
+		w.wrong(parsed, v, s, at, string(l))
 		return
 	}
-	k := w.options.Keys.find(pattern)
-	if k == nil {
+	if s.key == nil {
 		return
 	}
-	if problem := k.outside(v); problem != "" {
-		w.fault(w.data, parsed.StartOffset, path, "the range is "+k.Range(), "%s", problem)
+	if problem := s.outside(v); problem != "" {
+		w.fault(w.data, parsed.StartOffset, at.String(), "the range is "+s.key.Range(), "%s", problem)
 	}
-	if k.Required && text && v.IsZero() {
-		w.fault(w.data, parsed.StartOffset, path, k.fix(), "the text is empty")
+	if s.key.Required && text && v.IsZero() {
+		w.fault(w.data, parsed.StartOffset, at.String(), s.key.fix(), "the text is empty")
 	}
 }
