Admit by predicted wait, share the slot fairly, bound retries

Cause: under overload the slot refused by queue length alone, first come first served, so a flooding workspace pushed the others out, every refusal was retried at up to five more targets, and each caller was told the same Retry-After. A refusal that names a status is final. "Not run" is no longer said after an attempt elsewhere may have run.

--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -29,13 +29,12 @@
 	view *membership.View
 	// picker chooses targets.
 	picker *route.Picker
-	// random is the only source of chance.
-	random *rand.Rand
 	// exchanges holds the requests in progress by ID.
 	exchanges map[string]*exchange
 	// flight counts this entry's requests in progress by target.
 	flight map[string]int
 	crashes
+	retries
 	// stopping is set by the stop event and never cleared.
 	stopping bool
 }
@@ -59,7 +58,7 @@
 		centre:    o.Centre,
 		view:      membership.NewView(membership.Options{Silence: o.Silence}),
 		picker:    route.NewPicker(route.Options{Random: o.Random}),
-		random:    o.Random,
+		retries:   newRetries(o.Random),
 		exchanges: map[string]*exchange{},
 		flight:    map[string]int{},
 		crashes:   crashes{book: suspect.NewBook(), spread: o.Silence / 2},
--- a/internal/core/entry/entry_attempt.go
+++ b/internal/core/entry/entry_attempt.go
@@ -6,17 +6,16 @@
 
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/membership"
-	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/route"
 )
 
 // attempt sends the request to a target that was not tried yet, or gives up.
 func (c *Core) attempt(now time.Time, x *exchange) []Action {
 	if !now.Before(x.deadline) {
-		return c.finish(x, http.StatusGatewayTimeout, call.OutcomeNotRun, "the deadline passed before a target was free", defaultRetry)
+		return c.giveUp(x, http.StatusGatewayTimeout, "the deadline passed before a target was free")
 	}
 	if x.request.Attempt >= maxAttempts {
-		return c.finish(x, http.StatusServiceUnavailable, call.OutcomeNotRun, "no target took the request", defaultRetry)
+		return c.giveUp(x, http.StatusServiceUnavailable, "no target took the request")
 	}
 	if refusal := c.screen(now, x); refusal != nil {
 		return refusal
@@ -24,7 +23,10 @@
 	targets, candidates := c.candidates(now, x)
 	i := c.choose(now, x, targets, candidates)
 	if i < 0 {
-		return c.finish(x, http.StatusServiceUnavailable, call.OutcomeNotRun, "no target of the pool is in reach", defaultRetry)
+		return c.giveUp(x, http.StatusServiceUnavailable, "no other target of the pool is in reach")
+	}
+	if !c.mayRetry(x) {
+		return c.giveUp(x, http.StatusServiceUnavailable, "the target cannot take the request and too many are being retried")
 	}
 	return c.send(now, x, targets[i])
 }
--- a/internal/core/entry/entry_crash.go
+++ b/internal/core/entry/entry_crash.go
@@ -91,7 +91,7 @@
 	}
 	if x.request.Key == "" && !x.request.Lookup && x.assembler.Offset() == 0 {
 		x.tried[x.target] = true
-		x.sent = false
+		x.sent, x.doubt = false, true
 		return c.attempt(now, x)
 	}
 	return c.hold(now, x, k.Outcome, "the engine died while it ran this and other requests")
@@ -111,7 +111,7 @@
 func (c *Core) unhold(now time.Time) (actions []Action) {
 	for _, id := range c.heldIDs(now) {
 		x := c.exchanges[id]
-		actions = append(actions, c.finish(x, x.held.status, x.held.outcome, x.held.reason, defaultRetry)...)
+		actions = append(actions, c.finish(x, x.held.status, x.held.outcome, x.held.reason, c.advice(x))...)
 	}
 	return actions
 }
--- a/internal/core/entry/entry_request.go
+++ b/internal/core/entry/entry_request.go
@@ -13,7 +13,6 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/membership"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/answer"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
-	"github.com/dragonflydeal/dragonflydeal/internal/request/suspect"
 )
 
 const (
@@ -43,6 +42,10 @@
 	sent bool
 	// held is set when only the end is left to be told.
 	held *held
+	// doubt is set when an attempt at another target may have run.
+	doubt bool
+	// advice is the newest one from a slot, or zero.
+	advice time.Duration
 }
 
 // signal moves the exchange along the request chart.
@@ -154,13 +157,14 @@
 	}
 	switch k.Outcome {
 	case call.OutcomeComplete:
-		c.book.Note(now, x.request.Fingerprint, suspect.Cleared)
+		c.succeed(now, x)
 		return c.complete(x, k)
 	case call.OutcomeNotRun:
 		x.tried[x.target] = true
 		if x.request.Key != "" || x.request.Lookup || k.Status != 0 {
 			return c.finish(x, statusOf(k, http.StatusServiceUnavailable), k.Outcome, k.Reason, k.Retry)
 		}
+		x.advice = k.Retry
 		return c.attempt(now, x)
 	default:
 		return c.finish(x, statusOf(k, http.StatusBadGateway), k.Outcome, k.Reason, k.Retry)
@@ -231,7 +235,7 @@
 	}
 	if x.request.Key == "" && !x.request.Lookup && x.assembler.Offset() == 0 {
 		x.tried[x.target] = true
-		x.sent = false
+		x.sent, x.doubt = false, true
 		return c.attempt(now, x)
 	}
 	return c.unreachable(x, reason)
@@ -243,7 +247,7 @@
 	if x.request.Key == "" {
 		outcome = call.OutcomeFailed
 	}
-	return c.finish(x, http.StatusBadGateway, outcome, reason, defaultRetry)
+	return c.finish(x, http.StatusBadGateway, outcome, reason, c.advice(x))
 }
 
 // abandon ends an exchange whose caller no longer waits.
@@ -270,7 +274,7 @@
 		if x.request.Key != "" {
 			outcome = call.OutcomeUnknown
 		}
-		actions = append(actions, c.finish(x, http.StatusGatewayTimeout, outcome, "the deadline passed", defaultRetry)...)
+		actions = append(actions, c.finish(x, http.StatusGatewayTimeout, outcome, "the deadline passed", c.advice(x))...)
 	}
 	return actions
 }
--- a/internal/core/slot/slot.go
+++ b/internal/core/slot/slot.go
@@ -37,10 +37,9 @@
 	prefixes []uint64
 	// jobs holds the known requests by ID.
 	jobs map[string]*job
-	// queue holds the IDs of jobs that wait for the engine, in order.
-	queue []string
 	// running is the number of jobs at the engine; it is at most the target's width.
 	running int
+	admission
 	crashes
 	// limits bound what is kept.
 	limits Limits
@@ -88,6 +87,7 @@
 		incarnation: o.Random.Uint64(),
 		state:       membership.Chart.Start,
 		jobs:        map[string]*job{},
+		admission:   newAdmission(o.Random),
 		crashes:     crashes{book: suspect.NewBook()},
 		limits:      o.Limits,
 	}
@@ -144,7 +144,7 @@
 		Sequence:    c.sequence,
 		State:       c.state,
 		Running:     c.running,
-		Queued:      len(c.queue),
+		Queued:      c.queue.Len(),
 		Width:       c.target.Width,
 		Revision:    c.Revision(),
 		Prefixes:    c.prefixes,
@@ -176,7 +176,7 @@
 func (c *Core) Status() Status {
 	return Status{
 		Name: c.name, Incarnation: c.incarnation, State: c.state, Revision: c.Revision(),
-		Running: c.running, Queued: len(c.queue), Known: len(c.jobs),
+		Running: c.running, Queued: c.queue.Len(), Known: len(c.jobs),
 	}
 }
 
@@ -230,7 +230,7 @@
 
 // settle lets a leaving slot exit once nothing is in progress and entries know.
 func (c *Core) settle(now time.Time) []Action {
-	if c.state != membership.StateLeaving || c.running > 0 || len(c.queue) > 0 {
+	if c.state != membership.StateLeaving || c.running > 0 || c.queue.Len() > 0 {
 		return nil
 	}
 	if now.Sub(c.announced) < c.limits.Announce {
--- a/internal/core/slot/slot_crash.go
+++ b/internal/core/slot/slot_crash.go
@@ -90,7 +90,8 @@
 			c.book.Note(now, j.request.Fingerprint, suspect.Suspected)
 			actions = append(actions, suspectAudit(j, "suspected"))
 		case j.state == jobQueued && j.request.Key == "":
-			c.leave(id)
+			c.queue.Remove(id)
+			j.retry = c.advice()
 			actions = append(actions, c.end(now, j, "refuse", call.OutcomeNotRun, "the engine died before the request ran")...)
 		}
 	}
--- a/internal/core/slot/slot_job.go
+++ b/internal/core/slot/slot_job.go
@@ -45,6 +45,10 @@
 	reason  string
 	// crashed is set when the engine died while it ran the job.
 	crashed bool
+	// started is the time of the start at the engine, or zero.
+	started time.Time
+	// retry is the advice to the caller of a refused job, or zero.
+	retry time.Duration
 }
 
 // viewer is a stream that a job's answer goes to.
@@ -79,7 +83,7 @@
 	}
 	id := a.Identity()
 	c.jobs[id] = j
-	c.queue = append(c.queue, id)
+	c.enqueue(id, j)
 	acknowledge := Action{Chunk: &Chunk{Stream: a.Stream, Chunk: call.Chunk{ID: a.ID}}}
 	return append([]Action{acknowledge}, c.admit(now)...)
 }
@@ -134,6 +138,7 @@
 	v.sent += int64(len(data))
 	if ended {
 		k.End, k.Outcome, k.Reason, k.Crashed = true, j.outcome, j.reason, j.crashed
+		k.Retry = j.retry
 	}
 	return []Action{{Chunk: &Chunk{Stream: v.stream, Chunk: k}}}
 }
@@ -197,6 +202,7 @@
 	switch {
 	case outcome == call.OutcomeComplete:
 		signal = "complete"
+		c.observe(now, j)
 	case outcome == call.OutcomeNotRun:
 		signal = "refuse"
 	case j.request.Key != "":
@@ -220,7 +226,7 @@
 			}
 		case j.request.Key != "" || j.detached.IsZero() || now.Sub(j.detached) < c.limits.Orphan:
 		case j.state == jobQueued:
-			c.leave(id)
+			c.queue.Remove(id)
 			actions = append(actions, c.end(now, j, "cancel", call.OutcomeNotRun, "nobody waits for the answer")...)
 		case j.state == jobRunning:
 			actions = append(actions, Action{Abort: &Abort{ID: id}})
