--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -35,6 +35,8 @@
 	flight map[string]int
 	crashes
 	retries
+	// heirs holds the successors of homes that left by the homes' incarnation.
+	heirs map[uint64]heir
 	// stopping is set by the stop event and never cleared.
 	stopping bool
 }
@@ -61,7 +63,8 @@
 		retries:   newRetries(o.Random),
 		exchanges: map[string]*exchange{},
 		flight:    map[string]int{},
-		crashes:   crashes{book: suspect.NewBook(), spread: o.Silence / 2},
+		crashes:   crashes{verdicts: suspect.NewBook(), spread: o.Silence / 2},
+		heirs:     map[uint64]heir{},
 	}
 }
 
@@ -69,7 +72,7 @@
 func (c *Core) Handle(now time.Time, e Event) []Action {
 	switch {
 	case e.Arrival != nil:
-		return c.arrive(now, e.Arrival)
+		return honest(e.Arrival, c.arrive(now, e.Arrival))
 	case e.Chunk != nil:
 		return c.receive(now, e.Chunk)
 	case e.Broken != nil:
@@ -174,6 +177,7 @@
 		return nil
 	}
 	c.learn(now, before, h)
+	c.inherit(now, &h)
 	if known && before.State == h.State && before.Incarnation == h.Incarnation {
 		return nil
 	}
--- a/internal/core/entry/entry_crash.go
+++ b/internal/core/entry/entry_crash.go
@@ -17,8 +17,8 @@
 
 // crashes is what an entry knows of requests that may kill engines.
 type crashes struct {
-	// book holds the verdicts of all slots in reach.
-	book *suspect.Book
+	// verdicts holds what all slots in reach found out.
+	verdicts *suspect.Book
 	// spread is the time in which every entry hears a slot's verdict.
 	spread time.Duration
 }
@@ -35,7 +35,7 @@
 
 // learn takes in the verdicts of a heartbeat.
 func (c *Core) learn(now time.Time, before membership.Member, h membership.Heartbeat) {
-	c.book.Merge(now, reportOf(before.Heartbeat), reportOf(h))
+	c.verdicts.Merge(now, reportOf(before.Heartbeat), reportOf(h))
 }
 
 func reportOf(h membership.Heartbeat) suspect.Report {
@@ -44,7 +44,7 @@
 
 // screen refuses a convicted request and marks a suspected one to run alone.
 func (c *Core) screen(now time.Time, x *exchange) []Action {
-	verdict := c.book.Verdict(now, x.request.Fingerprint)
+	verdict := c.verdicts.Verdict(now, x.request.Fingerprint)
 	x.request.Alone = verdict == suspect.Suspected
 	switch {
 	case verdict == suspect.Convicted:
@@ -84,9 +84,9 @@
 
 // crash acts on the death of an engine that ran the request.
 func (c *Core) crash(now time.Time, x *exchange, k *call.Chunk) []Action {
-	c.book.Note(now, x.request.Fingerprint, suspect.Suspected)
+	c.verdicts.Note(now, x.request.Fingerprint, suspect.Suspected)
 	if x.request.Alone {
-		c.book.Note(now, x.request.Fingerprint, suspect.Convicted)
+		c.verdicts.Note(now, x.request.Fingerprint, suspect.Convicted)
 		return c.hold(now, x, call.OutcomeFailed, "the engine that ran this request alone died; the request is refused for an hour")
 	}
 	if x.request.Key == "" && !x.request.Lookup && x.assembler.Offset() == 0 {
--- a/internal/core/entry/entry_request.go
+++ b/internal/core/entry/entry_request.go
@@ -13,6 +13,7 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/membership"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/answer"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/key"
 )
 
 const (
@@ -42,10 +43,14 @@
 	sent bool
 	// held is set when only the end is left to be told.
 	held *held
-	// doubt is set when an attempt at another target may have run.
-	doubt bool
 	// advice is the newest one from a slot, or zero.
 	advice time.Duration
+	// doubt is set when a target was given up that may have run the request.
+	doubt bool
+	// certain is set when the key's home said that the call was not run.
+	certain bool
+	// barren counts the broken attempts since the newest byte of the answer.
+	barren int
 }
 
 // signal moves the exchange along the request chart.
@@ -88,9 +93,10 @@
 	if a.Home != "" {
 		return c.resume(now, x, a.Home)
 	}
-	if r.Once {
+	if r.Once || key.Ours(a.Key) {
 		return c.arriveOnce(now, x)
 	}
+	x.request.Key = ""
 	c.exchanges[a.ID] = x
 	return c.attempt(now, x)
 }
@@ -138,6 +144,7 @@
 	}
 	var actions []Action
 	if len(data) > 0 {
+		x.barren = 0
 		x.signal("data")
 		actions = append(actions, Action{Forward: &Forward{
 			ID: k.ID, Answer: x.request.Identity(), Home: x.target, Offset: x.assembler.Offset() - int64(len(data)), Data: data,
@@ -157,12 +164,20 @@
 	}
 	switch k.Outcome {
 	case call.OutcomeComplete:
+		if !x.assembler.Ends(k) {
+			return c.finish(x, http.StatusBadGateway, call.OutcomeFailed, "the answer ends before what was sent of it", 0)
+		}
 		c.succeed(now, x)
 		return c.complete(x, k)
 	case call.OutcomeNotRun:
 		x.tried[x.target] = true
-		if x.request.Key != "" || x.request.Lookup || k.Status != 0 {
-			return c.finish(x, statusOf(k, http.StatusServiceUnavailable), k.Outcome, k.Reason, k.Retry)
+		switch {
+		case x.request.Lookup:
+			return c.finish(x, statusOf(k, http.StatusGone), k.Outcome, k.Reason, k.Retry)
+		case x.request.Key != "":
+			return c.closed(now, x, k)
+		case k.Status != 0:
+			return c.finish(x, k.Status, k.Outcome, k.Reason, k.Retry)
 		}
 		x.advice = k.Retry
 		return c.attempt(now, x)
@@ -194,7 +209,7 @@
 	home := x.target
 	c.drop(x)
 	finish := Action{Finish: &Finish{
-		ID: x.request.ID, Answer: x.request.Identity(), Home: home, Status: status, Outcome: outcome, Reason: reason, Retry: retry,
+		ID: x.request.ID, Answer: x.request.Identity(), Home: home, Status: status, Outcome: x.told(outcome), Reason: reason, Retry: retry,
 		Stream: x.route.Stream, Offset: x.assembler.Offset(),
 	}}
 	return append([]Action{finish}, c.settle()...)
@@ -218,7 +233,7 @@
 	if !x.sent {
 		x.tried[x.target] = true
 		if x.request.Key != "" || x.request.Lookup {
-			return c.unreachable(x, b.Reason)
+			return c.unreachable(now, x, b.Reason)
 		}
 		return c.attempt(now, x)
 	}
@@ -230,21 +245,30 @@
 	t, ok := c.configuration.Target(x.target)
 	m, known := c.view.Member(now, x.target)
 	lost := !known || m.State == membership.StateLost || m.State == membership.StateGone
-	if ok && !lost && x.request.Attempt < maxAttempts && now.Before(x.deadline) {
+	x.barren++
+	if ok && !lost && x.barren < maxAttempts && now.Before(x.deadline) {
 		return c.send(now, x, t)
 	}
 	if x.request.Key == "" && !x.request.Lookup && x.assembler.Offset() == 0 {
 		x.tried[x.target] = true
-		x.sent, x.doubt = false, true
+		x.sent = false
+		x.doubt = true
 		return c.attempt(now, x)
 	}
-	return c.unreachable(x, reason)
+	return c.unreachable(now, x, reason)
 }
 
-// unreachable ends an exchange whose target cannot be asked what became of it.
-func (c *Core) unreachable(x *exchange, reason string) []Action {
+// unreachable asks the successor of a key's home or ends an exchange whose target cannot be asked.
+func (c *Core) unreachable(now time.Time, x *exchange, reason string) []Action {
+	k, err := key.Parse(x.request.Identity())
+	if err == nil && now.Before(x.deadline) {
+		if t, ok := c.heirOf(k); ok && t.Name != x.target && !x.tried[t.Name] {
+			x.tried[t.Name] = true
+			return c.consult(now, x, t)
+		}
+	}
 	outcome := call.OutcomeUnknown
-	if x.request.Key == "" {
+	if x.request.Key == "" && !x.request.Lookup {
 		outcome = call.OutcomeFailed
 	}
 	return c.finish(x, http.StatusBadGateway, outcome, reason, c.advice(x))
@@ -271,7 +295,7 @@
 		}
 		actions = append(actions, Action{Cancel: &Cancel{ID: x.request.ID, Attempt: x.request.Attempt}})
 		outcome := call.OutcomeFailed
-		if x.request.Key != "" {
+		if x.request.Key != "" || x.request.Lookup {
 			outcome = call.OutcomeUnknown
 		}
 		actions = append(actions, c.finish(x, http.StatusGatewayTimeout, outcome, "the deadline passed", c.advice(x))...)
--- a/internal/core/entry/entry_retry.go
+++ b/internal/core/entry/entry_retry.go
@@ -41,7 +41,7 @@
 
 // succeed takes in that a target answered the whole request.
 func (c *Core) succeed(now time.Time, x *exchange) {
-	c.book.Note(now, x.request.Fingerprint, suspect.Cleared)
+	c.verdicts.Note(now, x.request.Fingerprint, suspect.Cleared)
 	c.budget(x).Succeed()
 }
 
@@ -50,11 +50,7 @@
 	return x.request.Attempt == 0 || c.budget(x).Take()
 }
 
-// giveUp ends an exchange without another attempt. It says "not run" only if no attempt can have run.
+// giveUp ends an exchange without another attempt. What it tells depends on the attempts before.
 func (c *Core) giveUp(x *exchange, status int, reason string) []Action {
-	outcome := call.OutcomeNotRun
-	if x.doubt {
-		outcome = call.OutcomeFailed
-	}
-	return c.finish(x, status, outcome, reason, c.advice(x))
+	return c.finish(x, status, call.OutcomeNotRun, reason, c.advice(x))
 }
--- a/internal/core/slot/slot_admission.go
+++ b/internal/core/slot/slot_admission.go
@@ -48,8 +48,8 @@
 	return retry.Advice(c.random, c.queue.Drain(c.room()))
 }
 
-// enqueue puts a new job at its place in the queue.
-func (c *Core) enqueue(id string, j *job) {
+// line puts a new job at its place in the queue.
+func (c *Core) line(id string, j *job) {
 	w, _ := c.configuration.Workspace(j.request.Workspace)
 	e := c.estimate(j.request.Route)
 	c.queue.Push(queue.Item{
--- a/internal/core/slot/slot_crash.go
+++ b/internal/core/slot/slot_crash.go
@@ -16,8 +16,8 @@
 
 // crashes is what a slot knows of requests that may kill its engine.
 type crashes struct {
-	// book holds the verdicts that this slot came to.
-	book *suspect.Book
+	// verdicts holds what this slot found out.
+	verdicts *suspect.Book
 	// trial is the ID of the job that has the engine to itself, or empty.
 	trial string
 	// dead is the number of good reports that are missing after the engine's death.
@@ -26,7 +26,7 @@
 
 // checkSuspect refuses a convicted request and a second trial, and marks what is to run alone.
 func (c *Core) checkSuspect(now time.Time, a *Arrival) []Action {
-	switch c.book.Verdict(now, a.Fingerprint) {
+	switch c.verdicts.Verdict(now, a.Fingerprint) {
 	case suspect.Convicted:
 		return refuse(a, call.OutcomeNotRun, http.StatusUnprocessableEntity, suspect.Refusal, 0)
 	case suspect.Suspected:
@@ -35,9 +35,9 @@
 	if !a.Alone {
 		return nil
 	}
-	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
-		j := c.jobs[id]
-		if !j.request.Alone || !j.ended.IsZero() {
+	for _, id := range slices.Sorted(maps.Keys(c.active)) {
+		j := c.active[id]
+		if !j.request.Alone {
 			continue
 		}
 		if j.request.Fingerprint == a.Fingerprint {
@@ -45,7 +45,7 @@
 		}
 		return refuse(a, call.OutcomeNotRun, 0, "another request is being tried alone", defaultRetry)
 	}
-	c.book.Note(now, a.Fingerprint, suspect.Suspected)
+	c.verdicts.Note(now, a.Fingerprint, suspect.Suspected)
 	return nil
 }
 
@@ -64,7 +64,7 @@
 	}
 	if !r.Crashed {
 		if r.Outcome == call.OutcomeComplete {
-			c.book.Note(now, j.request.Fingerprint, suspect.Cleared)
+			c.verdicts.Note(now, j.request.Fingerprint, suspect.Cleared)
 		}
 		return nil
 	}
@@ -80,14 +80,14 @@
 	c.dead = revivalReports
 	c.alive = false
 	var actions []Action
-	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
-		j := c.jobs[id]
+	for _, id := range slices.Sorted(maps.Keys(c.active)) {
+		j := c.active[id]
 		switch {
 		case j.state == jobRunning && j.request.Alone:
-			c.book.Note(now, j.request.Fingerprint, suspect.Convicted)
+			c.verdicts.Note(now, j.request.Fingerprint, suspect.Convicted)
 			actions = append(actions, suspectAudit(j, "convicted"))
 		case j.state == jobRunning:
-			c.book.Note(now, j.request.Fingerprint, suspect.Suspected)
+			c.verdicts.Note(now, j.request.Fingerprint, suspect.Suspected)
 			actions = append(actions, suspectAudit(j, "suspected"))
 		case j.state == jobQueued && j.request.Key == "":
 			c.queue.Remove(id)
--- a/internal/process/entryd/entryd.go
+++ b/internal/process/entryd/entryd.go
@@ -13,6 +13,7 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/core/entry"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
 	"github.com/dragonflydeal/dragonflydeal/internal/process/node"
+	"github.com/dragonflydeal/dragonflydeal/internal/wire/message"
 )
 
 const (
@@ -88,6 +89,9 @@
 	if err != nil {
 		return err
 	}
+	if err := message.DRPCRegisterEntry(p.Mux, &server{process: p}); err != nil {
+		return err
+	}
 	group, work := errgroup.WithContext(work)
 	group.Go(func() error { return p.ServePeers(work, peers) })
 	group.Go(func() error { return p.ServeHTTP(work, operators, p.Operators(p.probes())) })
@@ -98,7 +102,7 @@
 		defer cancel()
 		return p.await(ctx, work)
 	})
-	p.Log.Info("start", "role", "entry", "name", p.Settings.Name)
+	p.Log.Info("start", "role", "entry")
 	return group.Wait()
 }
 
@@ -109,7 +113,7 @@
 		return nil
 	case <-stop.Done():
 	}
-	p.Log.Info("stop", "role", "entry", "name", p.Settings.Name)
+	p.Log.Info("stop", "role", "entry")
 	drain := time.NewTimer(time.Duration(p.Settings.Drain))
 	defer drain.Stop()
 	limit := time.NewTimer(time.Duration(p.Settings.Stop))
@@ -118,7 +122,7 @@
 	select {
 	case <-p.exit:
 	case <-limit.C:
-		p.Log.Warn("stop limit", "name", p.Settings.Name, "cut", p.status().Requests)
+		p.Log.Warn("stop limit", "cut", p.status().Requests)
 		return nil
 	}
 	// The platform's balancer needs this time to see that the entry is not ready.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -40,6 +40,8 @@
 	Mux *drpcmux.Mux
 	// Now returns the present time.
 	Now func() time.Time
+	// follower keeps the configuration up to date.
+	follower *follower
 }
 
 // Options are the inputs of New.
@@ -50,18 +52,25 @@
 	Log *slog.Logger
 	// Now returns the present time.
 	Now func() time.Time
+	// Dial opens a TCP connection to another instance; nil means the network's own way.
+	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 }
 
 // New returns a Node that serves nothing yet.
 func New(o Options) *Node {
-	return &Node{
+	log := o.Log.With("instance", o.Settings.Name)
+	n := &Node{
 		Settings: o.Settings,
-		Log:      o.Log,
-		Trail:    audit.NewTrail(o.Log),
-		Pool:     link.NewPool(link.Options{Local: o.Settings.Listen.Addr()}),
-		Mux:      drpcmux.New(),
-		Now:      o.Now,
+		Log:      log,
+		Trail:    audit.NewTrail(log),
+		Pool: link.NewPool(link.Options{
+			Local: o.Settings.Listen.Addr(), Dial: o.Dial, Silence: time.Duration(o.Settings.Ping),
+		}),
+		Mux: drpcmux.New(),
+		Now: o.Now,
 	}
+	n.follower = newFollower(n)
+	return n
 }
 
 // Listen opens a TCP listener.
