Route by aged reports, own requests in flight and prefix holders

Cause: two random near candidates compared by raw reports: at a report lag of 1 s p95 to the first token was 587 ms against round robin's 263 ms, and copies of one crashing request met every engine. Ruled out (go test ./internal/proof/policy -bench Route): a relaxation of 1 to 2 s (207 to 587 ms at 1 s lag); own requests weighted by one (holders of a prefix overloaded at 5 s lag: 327 ms against round robin's 258 ms) or in full (cache hits 80 % instead of 96 %); two samples (hot prefix, 5 s: 231 ms).

--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -4,7 +4,6 @@
 import (
 	_ "embed"
 	"math/rand/v2"
-	"net/netip"
 	"time"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/base/chart"
@@ -33,6 +32,8 @@
 	exchanges map[string]*exchange
 	// flight counts this entry's requests in progress by target.
 	flight map[string]int
+	// recent holds when this entry's requests in progress were sent, by target and ID.
+	recent map[string]map[string]time.Time
 	crashes
 	retries
 	// heirs holds the successors of homes that left by the homes' incarnation.
@@ -63,6 +64,7 @@
 		retries:   newRetries(o.Random),
 		exchanges: map[string]*exchange{},
 		flight:    map[string]int{},
+		recent:    map[string]map[string]time.Time{},
 		crashes:   crashes{verdicts: suspect.NewBook(), spread: o.Silence / 2},
 		heirs:     map[uint64]heir{},
 	}
@@ -159,10 +161,7 @@
 		return nil
 	}
 	c.configuration = next
-	targets := map[string]netip.AddrPort{}
-	for _, t := range next.Targets {
-		targets[t.Name] = t.Address
-	}
+	targets := c.watched(next)
 	c.view.Forget(func(name string) bool {
 		_, ok := targets[name]
 		return ok
--- a/internal/core/entry/entry_attempt.go
+++ b/internal/core/entry/entry_attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
@@ -36,12 +37,22 @@
 	if x.request.Alone {
 		return c.pickTrial(now, x, targets)
 	}
-	return c.picker.Pick(candidates)
+	return c.picker.Pick(candidates, prefixOf(x, targets))
+}
+
+// prefixOf returns the digest of the request's prompt prefix, or zero where the targets keep none.
+func prefixOf(x *exchange, targets []configuration.Target) uint64 {
+	if len(targets) == 0 || targets[0].Kind != configuration.KindEngine {
+		return 0
+	}
+	return route.Prefix(x.request.Workspace, x.request.Body)
 }
 
 // candidates returns the serving targets of the request's pool that were not tried.
 func (c *Core) candidates(now time.Time, x *exchange) (targets []configuration.Target, candidates []route.Candidate) {
-	for _, t := range c.configuration.Pool(x.route.Pool) {
+	pool := c.configuration.Pool(x.route.Pool)
+	prefix := prefixOf(x, pool)
+	for _, t := range pool {
 		m, ok := c.view.Member(now, t.Name)
 		if !ok || m.State != membership.StateServing || x.tried[t.Name] {
 			continue
@@ -49,7 +60,8 @@
 		targets = append(targets, t)
 		candidates = append(candidates, route.Candidate{
 			Name: t.Name, Near: t.Centre == c.centre, Width: m.Width,
-			Running: m.Running, Queued: m.Queued, Age: now.Sub(m.Made), Own: c.flight[t.Name],
+			Running: m.Running, Queued: m.Queued, Age: now.Sub(m.Made), Own: c.flight[t.Name], Since: c.since(t.Name, m.Made),
+			Warm: slices.Contains(m.Prefixes, prefix),
 		})
 	}
 	return targets, candidates
@@ -60,6 +72,10 @@
 	c.release(x)
 	x.target = t.Name
 	c.flight[t.Name]++
+	if c.recent[t.Name] == nil {
+		c.recent[t.Name] = map[string]time.Time{}
+	}
+	c.recent[t.Name][x.request.ID] = now
 	x.signal("send")
 	x.request.Attempt++
 	request := x.request
@@ -77,5 +93,21 @@
 	if c.flight[x.target] <= 0 {
 		delete(c.flight, x.target)
 	}
+	delete(c.recent[x.target], x.request.ID)
+	if len(c.recent[x.target]) == 0 {
+		delete(c.recent, x.target)
+	}
 	x.target = ""
 }
+
+// since returns the number of requests in progress that were sent after a report was made.
+func (c *Core) since(target string, made time.Time) (n int) {
+	for id, at := range c.recent[target] {
+		if at.After(made) {
+			n++
+		} else {
+			delete(c.recent[target], id)
+		}
+	}
+	return n
+}
--- a/internal/core/entry/entry_crash.go
+++ b/internal/core/entry/entry_crash.go
@@ -82,9 +82,16 @@
 	return best
 }
 
-// crash acts on the death of an engine that ran the request.
+// crash acts on the death of an engine that ran the request, or an equal one.
 func (c *Core) crash(now time.Time, x *exchange, k *call.Chunk) []Action {
 	c.verdicts.Note(now, x.request.Fingerprint, suspect.Suspected)
+	if k.Outcome == call.OutcomeNotRun && x.request.Key == "" {
+		x.tried[x.target] = true
+		return c.attempt(now, x)
+	}
+	if k.Outcome == call.OutcomeNotRun {
+		return c.closed(now, x, k)
+	}
 	if x.request.Alone {
 		c.verdicts.Note(now, x.request.Fingerprint, suspect.Convicted)
 		return c.hold(now, x, call.OutcomeFailed, "the engine that ran this request alone died; the request is refused for an hour")
--- a/internal/core/slot/slot.go
+++ b/internal/core/slot/slot.go
@@ -18,6 +18,9 @@
 
 var life = chart.MustParse(jobChart)
 
+// maxPrefixes is the largest number of prompt prefixes in a heartbeat.
+const maxPrefixes = 8
+
 // Core decides for one target. It is not safe for concurrent use.
 type Core struct {
 	// name identifies the target.
@@ -34,7 +37,7 @@
 	target configuration.Target
 	// alive tells whether the engine answered last.
 	alive bool
-	// prefixes are digests of prompt prefixes in the engine's cache.
+	// prefixes are digests of prompt prefixes in the engine's cache, the newest first.
 	prefixes []uint64
 	// jobs holds the known requests by ID.
 	jobs map[string]*job
@@ -171,7 +174,7 @@
 		Queued:      c.queue.Len(),
 		Width:       c.target.Width,
 		Revision:    c.Revision(),
-		Prefixes:    c.prefixes,
+		Prefixes:    c.prefixes[:min(len(c.prefixes), maxPrefixes)],
 		Suspects:    verdicts.Suspected,
 		Cleared:     verdicts.Cleared,
 		Convicted:   verdicts.Convicted,
--- a/internal/core/slot/slot_admission.go
+++ b/internal/core/slot/slot_admission.go
@@ -9,6 +9,7 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/queue"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/retry"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/suspect"
 )
 
 // admission is what decides which requests run and when.
@@ -29,8 +30,13 @@
 
 // checkAdmission refuses a new request that the target cannot take.
 func (c *Core) checkAdmission(now time.Time, a *Arrival) []Action {
+	if c.verdicts.Verdict(now, a.Fingerprint) == suspect.Convicted {
+		return refuse(a, call.OutcomeNotRun, http.StatusUnprocessableEntity, suspect.Refusal, 0)
+	}
 	if c.state != membership.StateServing {
-		return refuse(a, call.OutcomeNotRun, 0, "the target takes no new work", c.advice())
+		refusal := refuse(a, call.OutcomeNotRun, 0, "the target takes no new work", c.advice())
+		refusal[0].Chunk.Crashed = c.accused(now, a.Fingerprint)
+		return refusal
 	}
 	if a.Remaining <= 0 {
 		return refuse(a, call.OutcomeNotRun, http.StatusGatewayTimeout, "the deadline passed", 0)
--- a/internal/core/slot/slot_crash.go
+++ b/internal/core/slot/slot_crash.go
@@ -1,6 +1,7 @@
 package slot
 
 import (
+	"cmp"
 	"maps"
 	"net/http"
 	"slices"
@@ -24,12 +25,9 @@
 	dead int
 }
 
-// checkSuspect refuses a convicted request and a second trial, and marks what is to run alone.
+// checkSuspect refuses a second trial and marks what is to run alone.
 func (c *Core) checkSuspect(now time.Time, a *Arrival) []Action {
-	switch c.verdicts.Verdict(now, a.Fingerprint) {
-	case suspect.Convicted:
-		return refuse(a, call.OutcomeNotRun, http.StatusUnprocessableEntity, suspect.Refusal, 0)
-	case suspect.Suspected:
+	if c.verdicts.Verdict(now, a.Fingerprint) == suspect.Suspected {
 		a.Alone = true
 	}
 	if !a.Alone {
@@ -80,7 +78,8 @@
 	c.dead = revivalReports
 	c.alive = false
 	var actions []Action
-	for _, id := range slices.Sorted(maps.Keys(c.active)) {
+	ids := slices.SortedFunc(maps.Keys(c.active), c.runningFirst)
+	for _, id := range ids {
 		j := c.active[id]
 		switch {
 		case j.state == jobRunning && j.request.Alone:
@@ -92,12 +91,30 @@
 		case j.state == jobQueued && j.request.Key == "":
 			c.queue.Remove(id)
 			j.retry = c.advice()
+			j.crashed = c.accused(now, j.request.Fingerprint)
 			actions = append(actions, c.end(now, j, "refuse", call.OutcomeNotRun, "the engine died before the request ran")...)
 		}
 	}
 	return append(actions, c.signal("lost")...)
 }
 
+// runningFirst orders the IDs of jobs: those at the engine before those that wait.
+func (c *Core) runningFirst(x, y string) int {
+	if a, b := c.active[x].state == jobRunning, c.active[y].state == jobRunning; a != b {
+		if a {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(x, y)
+}
+
+// accused reports whether this slot saw its engine die with such a request.
+func (c *Core) accused(now time.Time, fingerprint uint64) bool {
+	v := c.verdicts.Verdict(now, fingerprint)
+	return v == suspect.Suspected || v == suspect.Convicted
+}
+
 func suspectAudit(j *job, verdict string) Action {
 	return Action{Audit: &Audit{Kind: "suspect", Attributes: []any{
 		"fingerprint", j.request.Fingerprint, "workspace", j.request.Workspace, "route", j.request.Route, "verdict", verdict,
--- a/internal/request/route/route.go
+++ b/internal/request/route/route.go
@@ -2,6 +2,7 @@
 package route
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -20,57 +21,99 @@
 	Age time.Duration
 	// Own is the number of this entry's requests in flight at the target.
 	Own int
-	// Warm tells that the target reported the request's prompt prefix in its cache.
+	// Since is the part of Own that was sent after the report was made.
+	Since int
+	// Warm tells that the target is known to have the request's prompt prefix in its cache.
 	Warm bool
 }
 
-// Load returns the expected number of requests before a new one, relative to the width.
-func (c *Candidate) Load() float64 {
-	return float64(max(c.Running+c.Queued, c.Own)) / float64(max(c.Width, 1))
-}
+const (
+	// farCost is what a target in another data centre must be less loaded, relative to the width.
+	farCost = 0.25
+	// coldCost is what a target without the prompt prefix must be less loaded, relative to the width.
+	coldCost = 0.5
+	// samples is the number of random candidates of the own data centre that are compared.
+	samples = 8
+	// defaultRelaxation is the age at which a report has lost most of its worth.
+	defaultRelaxation = 400 * time.Millisecond
+)
 
-// Picker chooses between candidates.
+// Picker chooses between candidates. It is not safe for concurrent use.
 type Picker struct {
 	// random is the only source of chance.
 	random *rand.Rand
+	// relaxation is the age at which a report has lost most of its worth.
+	relaxation time.Duration
+	// near and far are reused between calls.
+	near, far []int
 }
 
 // Options are the inputs of NewPicker.
 type Options struct {
 	// Random is the source of chance; it must not be shared with another goroutine.
 	Random *rand.Rand
+	// Relaxation is the age at which a report has lost most of its worth; zero means 400 ms.
+	Relaxation time.Duration
 }
 
 // NewPicker returns a Picker.
 func NewPicker(o Options) *Picker {
-	return &Picker{random: o.Random}
+	if o.Relaxation == 0 {
+		o.Relaxation = defaultRelaxation
+	}
+	return &Picker{random: o.Random, relaxation: o.Relaxation}
 }
 
-// Pick returns the index of the less loaded of two candidates, or -1 when there is none.
-func (p *Picker) Pick(candidates []Candidate) int {
+// Pick returns the index of the candidate for a request, or -1 when there is none. It may set Warm of one.
+// It compares a few candidates of the own data centre, one of another and the holder of the
+// prompt prefix; a prefix of zero has no holder.
+func (p *Picker) Pick(candidates []Candidate, prefix uint64) int {
 	if len(candidates) == 0 {
 		return -1
 	}
-	near := p.nearest(candidates)
-	first := near[p.random.IntN(len(near))]
-	second := near[p.random.IntN(len(near))]
-	if candidates[second].Load() < candidates[first].Load() {
-		return second
+	p.split(candidates)
+	pool := p.poolOf(candidates)
+	best, bestCost := -1, math.Inf(1)
+	consider := func(i int) {
+		if i < 0 {
+			return
+		}
+		if cost := p.cost(&candidates[i], pool, prefix); cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	if prefix != 0 {
+		p.appoint(candidates, prefix)
 	}
-	return first
+	for range samples {
+		consider(p.one(p.near))
+	}
+	consider(p.one(p.far))
+	if prefix != 0 {
+		consider(p.holder(candidates, pool, prefix))
+	}
+	return best
 }
 
-// nearest returns the indices of the candidates in the own data centre, or of all when none is.
-func (p *Picker) nearest(candidates []Candidate) []int {
-	var near, all []int
+// split sorts the candidates by data centre; without near ones the far ones count as near.
+func (p *Picker) split(candidates []Candidate) {
+	p.near, p.far = p.near[:0], p.far[:0]
 	for i := range candidates {
-		all = append(all, i)
 		if candidates[i].Near {
-			near = append(near, i)
+			p.near = append(p.near, i)
+		} else {
+			p.far = append(p.far, i)
 		}
 	}
-	if len(near) > 0 {
-		return near
+	if len(p.near) == 0 {
+		p.near, p.far = p.far, p.near
+	}
+}
+
+// one returns a random element, or -1.
+func (p *Picker) one(list []int) int {
+	if len(list) == 0 {
+		return -1
 	}
-	return all
+	return list[p.random.IntN(len(list))]
 }
--- a/internal/trial/engine/engine.go
+++ b/internal/trial/engine/engine.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
+	"slices"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/request/route"
 )
 
 // Engine streams made-up tokens and reports its load late. It is safe for concurrent use.
@@ -21,6 +23,8 @@
 	running int
 	// runs counts the started runs by request ID.
 	runs map[string]int
+	// cache holds the digests of at most cacheSize prompt prefixes, the newest first.
+	cache []uint64
 	// reports holds the load over the last lag.
 	reports []report
 	// down makes every call fail by a closed connection.
@@ -32,8 +36,27 @@
 }
 
 type report struct {
-	at      time.Time
-	running int
+	at       time.Time
+	running  int
+	prefixes []uint64
+}
+
+// load is the load report.
+type load struct {
+	// Running is the number of requests in progress.
+	Running int `json:"running"`
+	// Prefixes are digests of cached prompt prefixes.
+	Prefixes []uint64 `json:"prefixes"`
+}
+
+// cacheSize is the number of prompt prefixes that an engine keeps.
+const cacheSize = 16
+
+// remember puts a prompt prefix into the cache; mu is held.
+func (e *Engine) remember(prefix uint64) {
+	e.cache = slices.DeleteFunc(e.cache, func(v uint64) bool { return v == prefix })
+	e.cache = slices.Insert(e.cache, 0, prefix)
+	e.cache = e.cache[:min(len(e.cache), cacheSize)]
 }
 
 // Options are the inputs of New.
@@ -114,7 +137,7 @@
 }
 
 // begin starts a run; epoch is the number of crashes before it.
-func (e *Engine) begin(id, body string) (epoch int, ok bool) {
+func (e *Engine) begin(id, body string, prefix uint64) (epoch int, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.down {
@@ -126,12 +149,14 @@
 		return e.crashes, false
 	}
 	e.running++
+	e.remember(prefix)
 	return e.crashes, true
 }
 
 // crash takes the engine down until its restart; mu is held.
 func (e *Engine) crash() {
 	e.crashes++
+	e.cache = nil
 	e.down = true
 	if e.options.Restart > 0 {
 		time.AfterFunc(e.options.Restart, func() { e.SetDown(false) })
@@ -157,7 +182,7 @@
 	if err != nil {
 		return
 	}
-	epoch, ok := e.begin(r.Header.Get("Request-Id"), string(body))
+	epoch, ok := e.begin(r.Header.Get("Request-Id"), string(body), route.Prefix(r.Header.Get("Workspace"), body))
 	if !ok {
 		panic(http.ErrAbortHandler)
 	}
@@ -192,10 +217,10 @@
 	if e.down {
 		panic(http.ErrAbortHandler)
 	}
-	e.reports = append(e.reports, report{at: now, running: e.running})
+	e.reports = append(e.reports, report{at: now, running: e.running, prefixes: slices.Clone(e.cache)})
 	for len(e.reports) > 1 && now.Sub(e.reports[1].at) >= e.options.Lag {
 		e.reports = e.reports[1:]
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = io.WriteString(w, `{"running":`+strconv.Itoa(e.reports[0].running)+`}`)
+	_ = json.NewEncoder(w).Encode(load{Running: e.reports[0].running, Prefixes: e.reports[0].prefixes})
 }
