--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -32,14 +32,27 @@
 	exchanges map[string]*exchange
 	// flight counts this entry's requests in progress by target.
 	flight map[string]int
+	// choices holds the targets that this entry chooses from, by pool.
+	choices map[string][]configuration.Target
 	// recent holds when this entry's requests in progress were sent, by target and ID.
 	recent map[string]map[string]time.Time
-	crashes
-	retries
+	// gossip chooses what other entries are told.
+	gossip *membership.Gossip
+	// failed holds the entries that did not answer last.
+	failed map[string]bool
+	// silent holds the watched targets whose silence was recorded.
+	silent map[string]bool
+	// subset is the set of targets that is watched first-hand.
+	subset membership.Subset
+	// beat is the configured time between heartbeats.
+	beat time.Duration
+	// last is the time of the newest event.
+	last time.Time
 	// heirs holds the successors of homes that left by the homes' incarnation.
 	heirs map[uint64]heir
-	// stopping is set by the stop event and never cleared.
-	stopping bool
+	crashes
+	retries
+	shutdown
 }
 
 // Options are the inputs of New.
@@ -50,28 +63,37 @@
 	Centre string
 	// Random is the source of chance; it must not be shared.
 	Random *rand.Rand
-	// Silence is the age of the newest heartbeat at which a target counts as lost.
-	Silence time.Duration
+	// Beat is the time between heartbeats.
+	Beat time.Duration
+	// Drain is the time after a stop in which new requests are still served.
+	Drain time.Duration
 }
 
 // New returns a core that knows no configuration yet.
 func New(o Options) *Core {
+	view := membership.NewView(membership.Options{Silence: silentBeats * o.Beat, Relayed: relayedSilence})
 	return &Core{
 		name:      o.Name,
 		centre:    o.Centre,
-		view:      membership.NewView(membership.Options{Silence: o.Silence}),
+		view:      view,
+		gossip:    membership.NewGossip(view),
+		failed:    map[string]bool{},
+		silent:    map[string]bool{},
+		beat:      o.Beat,
+		shutdown:  shutdown{drain: o.Drain},
 		picker:    route.NewPicker(route.Options{Random: o.Random}),
 		retries:   newRetries(o.Random),
 		exchanges: map[string]*exchange{},
 		flight:    map[string]int{},
 		recent:    map[string]map[string]time.Time{},
-		crashes:   crashes{verdicts: suspect.NewBook(), spread: o.Silence / 2},
 		heirs:     map[uint64]heir{},
+		crashes:   crashes{book: suspect.NewBook(), spread: silentBeats * o.Beat / 2},
 	}
 }
 
 // Handle takes one event and returns what is to be done, in order.
 func (c *Core) Handle(now time.Time, e Event) []Action {
+	c.pulse(now)
 	switch {
 	case e.Arrival != nil:
 		return honest(e.Arrival, c.arrive(now, e.Arrival))
@@ -85,11 +107,16 @@
 		return c.hear(now, *e.Heartbeat)
 	case e.Configuration != nil:
 		return c.configure(e.Configuration)
+	case e.Digest != nil:
+		return c.merge(now, e.Digest)
+	case e.Hint != nil:
+		c.hint(now, *e.Hint)
+	case e.Peer != nil:
+		return c.judge(e.Peer)
 	case e.Stop != nil:
-		c.stopping = true
-		return c.settle()
+		return c.stop(now)
 	case e.Tick != nil:
-		return append(c.unhold(now), c.expire(now)...)
+		return c.tick(now)
 	}
 	return nil
 }
@@ -99,6 +126,11 @@
 	return c.configuration != nil && !c.stopping
 }
 
+// Stopping reports whether a graceful shutdown has begun.
+func (c *Core) Stopping() bool {
+	return c.stopping
+}
+
 // Revision returns the configuration revision in force, or zero.
 func (c *Core) Revision() int64 {
 	if c.configuration == nil {
@@ -154,33 +186,3 @@
 	}
 	return s
 }
-
-// configure puts a newer revision in force.
-func (c *Core) configure(next *configuration.Configuration) []Action {
-	if next.Revision <= c.Revision() {
-		return nil
-	}
-	c.configuration = next
-	targets := c.watched(next)
-	c.view.Forget(func(name string) bool {
-		_, ok := targets[name]
-		return ok
-	})
-	return []Action{{Watch: &Watch{Targets: targets}}}
-}
-
-// hear takes in a heartbeat and records changes of a target's state.
-func (c *Core) hear(now time.Time, h membership.Heartbeat) []Action {
-	before, known := c.view.Member(now, h.Target)
-	if !c.view.Accept(now, h) {
-		return nil
-	}
-	c.learn(now, before, h)
-	c.inherit(now, &h)
-	if known && before.State == h.State && before.Incarnation == h.Incarnation {
-		return nil
-	}
-	return []Action{{Audit: &Audit{Kind: "target", Attributes: []any{
-		"target", h.Target, "state", h.State, "incarnation", h.Incarnation,
-	}}}}
-}
--- a/internal/core/entry/entry_attempt.go
+++ b/internal/core/entry/entry_attempt.go
@@ -50,14 +50,14 @@
 
 // candidates returns the serving targets of the request's pool that were not tried.
 func (c *Core) candidates(now time.Time, x *exchange) (targets []configuration.Target, candidates []route.Candidate) {
-	pool := c.configuration.Pool(x.route.Pool)
-	prefix := prefixOf(x, pool)
-	for _, t := range pool {
-		m, ok := c.view.Member(now, t.Name)
-		if !ok || m.State != membership.StateServing || x.tried[t.Name] {
-			continue
-		}
-		targets = append(targets, t)
+	targets = c.serving(now, x, c.choices[x.route.Pool])
+	if len(targets) == 0 {
+		targets = c.serving(now, x, c.configuration.Pool(x.route.Pool))
+	}
+	targets = c.preferred(now, targets)
+	prefix := prefixOf(x, targets)
+	for _, t := range targets {
+		m, _ := c.view.Member(now, t.Name)
 		candidates = append(candidates, route.Candidate{
 			Name: t.Name, Near: t.Centre == c.centre, Width: m.Width,
 			Running: m.Running, Queued: m.Queued, Age: now.Sub(m.Made), Own: c.flight[t.Name], Since: c.since(t.Name, m.Made),
@@ -67,6 +67,17 @@
 	return targets, candidates
 }
 
+// serving returns those of a list of targets that serve and were not tried.
+func (c *Core) serving(now time.Time, x *exchange, list []configuration.Target) (targets []configuration.Target) {
+	for _, t := range list {
+		m, ok := c.view.Member(now, t.Name)
+		if ok && m.State == membership.StateServing && !x.tried[t.Name] {
+			targets = append(targets, t)
+		}
+	}
+	return targets
+}
+
 // send starts the next attempt at a target.
 func (c *Core) send(now time.Time, x *exchange, t configuration.Target) []Action {
 	c.release(x)
--- a/internal/core/entry/entry_crash.go
+++ b/internal/core/entry/entry_crash.go
@@ -17,8 +17,8 @@
 
 // crashes is what an entry knows of requests that may kill engines.
 type crashes struct {
-	// verdicts holds what all slots in reach found out.
-	verdicts *suspect.Book
+	// book holds what all slots in reach found out.
+	book *suspect.Book
 	// spread is the time in which every entry hears a slot's verdict.
 	spread time.Duration
 }
@@ -35,7 +35,7 @@
 
 // learn takes in the verdicts of a heartbeat.
 func (c *Core) learn(now time.Time, before membership.Member, h membership.Heartbeat) {
-	c.verdicts.Merge(now, reportOf(before.Heartbeat), reportOf(h))
+	c.book.Merge(now, reportOf(before.Heartbeat), reportOf(h))
 }
 
 func reportOf(h membership.Heartbeat) suspect.Report {
@@ -44,7 +44,7 @@
 
 // screen refuses a convicted request and marks a suspected one to run alone.
 func (c *Core) screen(now time.Time, x *exchange) []Action {
-	verdict := c.verdicts.Verdict(now, x.request.Fingerprint)
+	verdict := c.book.Verdict(now, x.request.Fingerprint)
 	x.request.Alone = verdict == suspect.Suspected
 	switch {
 	case verdict == suspect.Convicted:
@@ -84,7 +84,7 @@
 
 // crash acts on the death of an engine that ran the request, or an equal one.
 func (c *Core) crash(now time.Time, x *exchange, k *call.Chunk) []Action {
-	c.verdicts.Note(now, x.request.Fingerprint, suspect.Suspected)
+	c.book.Note(now, x.request.Fingerprint, suspect.Suspected)
 	if k.Outcome == call.OutcomeNotRun && x.request.Key == "" {
 		x.tried[x.target] = true
 		return c.attempt(now, x)
@@ -93,7 +93,7 @@
 		return c.closed(now, x, k)
 	}
 	if x.request.Alone {
-		c.verdicts.Note(now, x.request.Fingerprint, suspect.Convicted)
+		c.book.Note(now, x.request.Fingerprint, suspect.Convicted)
 		return c.hold(now, x, call.OutcomeFailed, "the engine that ran this request alone died; the request is refused for an hour")
 	}
 	if x.request.Key == "" && !x.request.Lookup && x.assembler.Offset() == 0 {
--- a/internal/core/entry/entry_once.go
+++ b/internal/core/entry/entry_once.go
@@ -53,7 +53,7 @@
 	if configured && t.Pool != x.route.Pool {
 		return refuse(x.request.ID, http.StatusConflict, "the idempotency key's home does not serve this route", 0)
 	}
-	x.request.Alone = c.verdicts.Verdict(now, x.request.Fingerprint) == suspect.Suspected
+	x.request.Alone = c.book.Verdict(now, x.request.Fingerprint) == suspect.Suspected
 	c.exchanges[x.request.ID] = x
 	m, known := c.view.Member(now, k.Home)
 	left := !configured || known && (m.State == membership.StateGone || m.Incarnation != k.Incarnation)
@@ -113,7 +113,7 @@
 
 // mint answers with a fresh key, which the caller repeats the request with.
 func (c *Core) mint(now time.Time, x *exchange) []Action {
-	if c.verdicts.Verdict(now, x.request.Fingerprint) == suspect.Convicted {
+	if c.book.Verdict(now, x.request.Fingerprint) == suspect.Convicted {
 		return refuse(x.request.ID, http.StatusUnprocessableEntity, suspect.Refusal, 0)
 	}
 	fresh, ok := c.freshKey(now, x)
--- a/internal/core/entry/entry_request.go
+++ b/internal/core/entry/entry_request.go
@@ -41,8 +41,6 @@
 	deadline time.Time
 	// sent is set when a byte of any attempt may have reached a slot.
 	sent bool
-	// held is set when only the end is left to be told.
-	held *held
 	// advice is the newest one from a slot, or zero.
 	advice time.Duration
 	// doubt is set when a target was given up that may have run the request.
@@ -51,6 +49,8 @@
 	certain bool
 	// barren counts the broken attempts since the newest byte of the answer.
 	barren int
+	// held is set when only the end is left to be told.
+	held *held
 }
 
 // signal moves the exchange along the request chart.
@@ -62,7 +62,7 @@
 
 // arrive checks a request and starts its first attempt.
 func (c *Core) arrive(now time.Time, a *Arrival) []Action {
-	if c.configuration == nil || c.stopping {
+	if c.configuration == nil || c.drained {
 		return refuse(a.ID, http.StatusServiceUnavailable, "this entry is starting or stopping", defaultRetry)
 	}
 	if _, ok := c.configuration.Workspace(a.Workspace); !ok {
@@ -302,11 +302,3 @@
 	}
 	return actions
 }
-
-// settle lets a stopping process exit once nothing is in progress.
-func (c *Core) settle() []Action {
-	if !c.stopping || len(c.exchanges) > 0 {
-		return nil
-	}
-	return []Action{{Exit: &Exit{}}}
-}
--- a/internal/core/entry/entry_retry.go
+++ b/internal/core/entry/entry_retry.go
@@ -41,7 +41,7 @@
 
 // succeed takes in that a target answered the whole request.
 func (c *Core) succeed(now time.Time, x *exchange) {
-	c.verdicts.Note(now, x.request.Fingerprint, suspect.Cleared)
+	c.book.Note(now, x.request.Fingerprint, suspect.Cleared)
 	c.budget(x).Succeed()
 }
 
--- a/internal/core/slot/slot.go
+++ b/internal/core/slot/slot.go
@@ -11,6 +11,7 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/membership"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/record"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/suspect"
+	"github.com/dragonflydeal/dragonflydeal/internal/site/power"
 )
 
 //go:embed job.chart
@@ -49,14 +50,15 @@
 	kept []string
 	// held is the number of answer bytes in memory.
 	held int
-	// book holds the records of non-idempotent calls.
-	book *record.Book
+	// records holds the records of non-idempotent calls.
+	records *record.Book
 	// swept is the time of the newest search for expired records.
 	swept time.Time
 	// running is the number of jobs at the engine; it is at most the target's width.
 	running int
 	admission
 	crashes
+	supply
 	// limits bound what is kept.
 	limits Limits
 	// announced is the time from which the stop was announced to the entries.
@@ -110,10 +112,11 @@
 		incarnation: incarnation,
 		state:       membership.Chart.Start,
 		jobs:        map[string]*job{},
-		admission:   newAdmission(o.Random),
-		crashes:     crashes{verdicts: suspect.NewBook()},
 		active:      map[string]*job{},
-		book:        record.NewBook(record.Options{Home: o.Name, Incarnation: incarnation, Limit: o.Limits.Records}),
+		records:     record.NewBook(record.Options{Home: o.Name, Incarnation: incarnation, Limit: o.Limits.Records}),
+		admission:   newAdmission(o.Random),
+		crashes:     crashes{book: suspect.NewBook()},
+		supply:      supply{random: o.Random},
 		limits:      o.Limits,
 	}
 }
@@ -133,6 +136,8 @@
 		return c.result(now, e.Result)
 	case e.Report != nil:
 		return c.report(now, e.Report)
+	case e.Message != nil:
+		return c.hear(now, e.Message)
 	case e.Configuration != nil:
 		return c.configure(now, e.Configuration)
 	case e.Stop != nil:
@@ -153,6 +158,11 @@
 	return c.state == membership.StateServing
 }
 
+// State returns the target's state.
+func (c *Core) State() chart.State {
+	return c.state
+}
+
 // Revision returns the configuration revision in force, or zero.
 func (c *Core) Revision() int64 {
 	if c.configuration == nil {
@@ -164,7 +174,7 @@
 // Beat returns the next heartbeat.
 func (c *Core) Beat(now time.Time) membership.Heartbeat {
 	c.sequence++
-	verdicts := c.verdicts.Report(now)
+	verdicts := c.book.Report(now)
 	return membership.Heartbeat{
 		Target:      c.name,
 		Incarnation: c.incarnation,
@@ -172,7 +182,7 @@
 		State:       c.state,
 		Running:     c.running,
 		Queued:      c.queue.Len(),
-		Width:       c.target.Width,
+		Width:       c.width(now),
 		Revision:    c.Revision(),
 		Prefixes:    c.prefixes[:min(len(c.prefixes), maxPrefixes)],
 		Suspects:    verdicts.Suspected,
@@ -197,13 +207,15 @@
 	Queued int `json:"queued"`
 	// Known is the number of requests that are kept, finished ones included.
 	Known int `json:"known"`
+	// Power is the target's part of the site's cap, or nil when nothing is limited.
+	Power *power.Status `json:"power,omitempty"`
 }
 
 // Status returns a summary for operators.
-func (c *Core) Status() Status {
+func (c *Core) Status(now time.Time) Status {
 	return Status{
 		Name: c.name, Incarnation: c.incarnation, State: c.state, Revision: c.Revision(),
-		Running: c.running, Queued: c.queue.Len(), Known: len(c.jobs),
+		Running: c.running, Queued: c.queue.Len(), Known: len(c.jobs), Power: c.powerStatus(now),
 	}
 }
 
@@ -226,6 +238,7 @@
 	if t, ok := next.Target(c.name); ok {
 		c.target = t
 	}
+	c.plan(now)
 	return append(c.open(), c.admit(now)...)
 }
 
@@ -233,6 +246,7 @@
 func (c *Core) report(now time.Time, r *Report) []Action {
 	c.alive = r.Alive && c.revived()
 	c.prefixes = r.Prefixes
+	c.reported = r.Running
 	if !c.alive && c.state == membership.StateServing {
 		return c.signal("lost")
 	}
@@ -270,5 +284,6 @@
 func (c *Core) tick(now time.Time) []Action {
 	actions := c.expire(now)
 	actions = append(actions, c.admit(now)...)
+	actions = append(actions, c.lend(now)...)
 	return append(actions, c.settle(now)...)
 }
--- a/internal/core/slot/slot_admission.go
+++ b/internal/core/slot/slot_admission.go
@@ -18,23 +18,21 @@
 	queue *queue.Queue
 	// estimates holds the service times by route.
 	estimates map[string]*queue.Estimate
-	// random spreads the advice to callers.
-	random *rand.Rand
-	// powered reports whether the site has the watts for one more run, or is nil when nothing limits them.
-	powered func(now time.Time, j *job) bool
+	// chance spreads the advice to callers.
+	chance *rand.Rand
 }
 
 func newAdmission(random *rand.Rand) admission {
-	return admission{queue: queue.New(), estimates: map[string]*queue.Estimate{}, random: random}
+	return admission{queue: queue.New(), estimates: map[string]*queue.Estimate{}, chance: random}
 }
 
 // checkAdmission refuses a new request that the target cannot take.
 func (c *Core) checkAdmission(now time.Time, a *Arrival) []Action {
-	if c.verdicts.Verdict(now, a.Fingerprint) == suspect.Convicted {
+	if c.book.Verdict(now, a.Fingerprint) == suspect.Convicted {
 		return refuse(a, call.OutcomeNotRun, http.StatusUnprocessableEntity, suspect.Refusal, 0)
 	}
 	if c.state != membership.StateServing {
-		refusal := refuse(a, call.OutcomeNotRun, 0, "the target takes no new work", c.advice())
+		refusal := refuse(a, call.OutcomeNotRun, 0, "the target takes no new work", c.advice(now))
 		refusal[0].Chunk.Crashed = c.accused(now, a.Fingerprint)
 		return refusal
 	}
@@ -45,13 +43,13 @@
 }
 
 // room returns what the engine can do now.
-func (c *Core) room() queue.Room {
-	return queue.Room{Width: c.target.Width, Running: c.running, Limit: c.limits.Queue * c.target.Width}
+func (c *Core) room(now time.Time) queue.Room {
+	return queue.Room{Width: c.width(now), Running: c.running, Limit: c.limits.Queue * c.target.Width}
 }
 
 // advice returns when a refused caller may come back.
-func (c *Core) advice() time.Duration {
-	return retry.Advice(c.random, c.queue.Drain(c.room()))
+func (c *Core) advice(now time.Time) time.Duration {
+	return retry.Advice(c.chance, c.queue.Drain(c.room(now)))
 }
 
 // line puts a new job at its place in the queue.
@@ -80,9 +78,9 @@
 
 // shed refuses at once the waiting jobs that cannot be on time, and those beyond the queue's limit.
 func (c *Core) shed(now time.Time) (actions []Action) {
-	for _, v := range c.queue.Shed(now, c.room()) {
+	for _, v := range c.queue.Shed(now, c.room(now)) {
 		j := c.jobs[v.ID]
-		j.retry = c.advice()
+		j.retry = c.advice(now)
 		actions = append(actions, c.end(now, j, "refuse", call.OutcomeNotRun, "the target cannot answer in time")...)
 	}
 	return actions
@@ -96,7 +94,7 @@
 			return actions
 		}
 		j := c.jobs[v.ID]
-		if !c.fits(j) || c.powered != nil && !c.powered(now, j) {
+		if !c.fits(j) || !c.powered(now, j) {
 			break
 		}
 		c.queue.Pop()
--- a/internal/core/slot/slot_crash.go
+++ b/internal/core/slot/slot_crash.go
@@ -17,8 +17,8 @@
 
 // crashes is what a slot knows of requests that may kill its engine.
 type crashes struct {
-	// verdicts holds what this slot found out.
-	verdicts *suspect.Book
+	// book holds what this slot found out.
+	book *suspect.Book
 	// trial is the ID of the job that has the engine to itself, or empty.
 	trial string
 	// dead is the number of good reports that are missing after the engine's death.
@@ -27,7 +27,7 @@
 
 // checkSuspect refuses a second trial and marks what is to run alone.
 func (c *Core) checkSuspect(now time.Time, a *Arrival) []Action {
-	if c.verdicts.Verdict(now, a.Fingerprint) == suspect.Suspected {
+	if c.book.Verdict(now, a.Fingerprint) == suspect.Suspected {
 		a.Alone = true
 	}
 	if !a.Alone {
@@ -43,7 +43,7 @@
 		}
 		return refuse(a, call.OutcomeNotRun, 0, "another request is being tried alone", defaultRetry)
 	}
-	c.verdicts.Note(now, a.Fingerprint, suspect.Suspected)
+	c.book.Note(now, a.Fingerprint, suspect.Suspected)
 	return nil
 }
 
@@ -62,7 +62,7 @@
 	}
 	if !r.Crashed {
 		if r.Outcome == call.OutcomeComplete {
-			c.verdicts.Note(now, j.request.Fingerprint, suspect.Cleared)
+			c.book.Note(now, j.request.Fingerprint, suspect.Cleared)
 		}
 		return nil
 	}
@@ -83,14 +83,14 @@
 		j := c.active[id]
 		switch {
 		case j.state == jobRunning && j.request.Alone:
-			c.verdicts.Note(now, j.request.Fingerprint, suspect.Convicted)
+			c.book.Note(now, j.request.Fingerprint, suspect.Convicted)
 			actions = append(actions, suspectAudit(j, "convicted"))
 		case j.state == jobRunning:
-			c.verdicts.Note(now, j.request.Fingerprint, suspect.Suspected)
+			c.book.Note(now, j.request.Fingerprint, suspect.Suspected)
 			actions = append(actions, suspectAudit(j, "suspected"))
 		case j.state == jobQueued && j.request.Key == "":
 			c.queue.Remove(id)
-			j.retry = c.advice()
+			j.retry = c.advice(now)
 			j.crashed = c.accused(now, j.request.Fingerprint)
 			actions = append(actions, c.end(now, j, "refuse", call.OutcomeNotRun, "the engine died before the request ran")...)
 		}
@@ -111,7 +111,7 @@
 
 // accused reports whether this slot saw its engine die with such a request.
 func (c *Core) accused(now time.Time, fingerprint uint64) bool {
-	v := c.verdicts.Verdict(now, fingerprint)
+	v := c.book.Verdict(now, fingerprint)
 	return v == suspect.Suspected || v == suspect.Convicted
 }
 
--- a/internal/core/slot/slot_job.go
+++ b/internal/core/slot/slot_job.go
@@ -120,7 +120,7 @@
 	j.reason = reason
 	j.request.Body = nil
 	if j.request.Key != "" && outcome == call.OutcomeNotRun {
-		c.book.Close(j.request.Key, j.request.Fingerprint)
+		c.records.Close(j.request.Key, j.request.Fingerprint)
 	}
 	delete(c.active, id)
 	c.finished = append(c.finished, id)
--- a/internal/fleet/configuration/configuration_parse.go
+++ b/internal/fleet/configuration/configuration_parse.go
@@ -73,7 +73,20 @@
 	return strconv.Quote(strconv.Itoa(formatMajor) + "." + strconv.Itoa(formatMinor))
 }
 
-// Encode returns the published form.
+// Encode returns the published form; lists are never null in it.
 func (c *Configuration) Encode() ([]byte, error) {
-	return json.Marshal(c)
+	out := *c
+	fill(&out.Centres)
+	fill(&out.Entries)
+	fill(&out.Targets)
+	fill(&out.Workspaces)
+	fill(&out.Routes)
+	return json.Marshal(&out)
+}
+
+// fill makes a list that is not there an empty one.
+func fill[T any](list *[]T) {
+	if *list == nil {
+		*list = []T{}
+	}
 }
--- a/internal/fleet/revision/revision_test.go
+++ b/internal/fleet/revision/revision_test.go
@@ -24,21 +24,30 @@
 
 // fleet returns a configuration with entries and targets spread over data centres.
 func fleet(centres, entries, targets int) *configuration.Configuration {
-	c := &configuration.Configuration{Format: "1.0", Revision: 1}
+	c := &configuration.Configuration{
+		Format: "1.0", Revision: 1, Workspaces: []configuration.Workspace{{Name: "school"}}, Routes: []configuration.Route{},
+	}
 	for i := range centres {
 		c.Centres = append(c.Centres, configuration.Centre{Name: fmt.Sprintf("c%d", i)})
 	}
 	for i := range entries {
-		c.Entries = append(c.Entries, configuration.Entry{Name: fmt.Sprintf("entry-%d", i), Centre: c.Centres[i%centres].Name})
+		c.Entries = append(c.Entries, configuration.Entry{
+			Name: fmt.Sprintf("entry-%d", i), Centre: c.Centres[i%centres].Name, Address: address(i, 11),
+		})
 	}
 	for i := range targets {
 		t := configuration.Target{Name: fmt.Sprintf("desk-%d", i), Centre: c.Centres[i%centres].Name, Kind: configuration.KindEngine, Pool: "desk", Width: 1}
-		t.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i * 7919 >> 8), byte(i * 104729 >> 4), byte(i * 31)}), uint16(i*7919))
+		t.Address = address(i, 10)
 		c.Targets = append(c.Targets, t)
 	}
 	return c
 }
 
+// address returns an address of its own for each number.
+func address(i int, net byte) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{net, byte(i >> 8), byte(i), 1}), uint16(1000+i*7919%60000))
+}
+
 func TestTake(t *testing.T) {
 	tests := []struct {
 		name   string
--- a/internal/process/entryd/entryd.go
+++ b/internal/process/entryd/entryd.go
@@ -16,12 +16,8 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/wire/message"
 )
 
-const (
-	// tickInterval is the time between two ticks of the core.
-	tickInterval = 20 * time.Millisecond
-	// silentBeats is the number of missed heartbeats after which a target counts as lost.
-	silentBeats = 6
-)
+// tickInterval is the time between two ticks of the core.
+const tickInterval = 20 * time.Millisecond
 
 // Process runs one entry.
 type Process struct {
@@ -40,6 +36,8 @@
 	attempts map[string]attempt
 	// watches holds the cancel functions of heartbeat streams by address; guarded by mu.
 	watches map[netip.AddrPort]context.CancelFunc
+	// beat is the wanted time between heartbeats; guarded by mu.
+	beat time.Duration
 	// exited is set when exit was closed; guarded by mu.
 	exited bool
 }
@@ -64,7 +62,7 @@
 		exit: make(chan struct{}),
 		core: entry.New(entry.Options{
 			Name: o.Settings.Name, Centre: o.Settings.Centre, Random: o.Random,
-			Silence: silentBeats * time.Duration(o.Settings.Beat),
+			Beat: time.Duration(o.Settings.Beat), Drain: time.Duration(o.Settings.Drain),
 		}),
 		replies:  map[string]*reply{},
 		attempts: map[string]attempt{},
@@ -95,9 +93,11 @@
 	group, work := errgroup.WithContext(work)
 	group.Go(func() error { return p.ServePeers(work, peers) })
 	group.Go(func() error { return p.ServeHTTP(work, operators, p.Operators(p.probes())) })
-	group.Go(func() error { return p.ServeHTTP(work, callers, p.callers()) })
+	group.Go(func() error { return p.ServeHTTP(work, callers, p.turnAway(p.callers())) })
 	group.Go(func() error { p.Follow(work, p.accept); return nil })
 	group.Go(func() error { p.tick(work); return nil })
+	group.Go(func() error { p.exchangeAll(work); return nil })
+	group.Go(func() error { p.ReadInstances(work, p.hint); return nil })
 	group.Go(func() error {
 		defer cancel()
 		return p.await(ctx, work)
@@ -106,30 +106,6 @@
 	return group.Wait()
 }
 
-// await stops the core when asked to and returns when it has finished or the stop limit is over.
-func (p *Process) await(stop, work context.Context) error {
-	select {
-	case <-work.Done():
-		return nil
-	case <-stop.Done():
-	}
-	p.Log.Info("stop", "role", "entry")
-	drain := time.NewTimer(time.Duration(p.Settings.Drain))
-	defer drain.Stop()
-	limit := time.NewTimer(time.Duration(p.Settings.Stop))
-	defer limit.Stop()
-	p.handle(entry.Event{Stop: &entry.Stop{}})
-	select {
-	case <-p.exit:
-	case <-limit.C:
-		p.Log.Warn("stop limit", "cut", p.status().Requests)
-		return nil
-	}
-	// The platform's balancer needs this time to see that the entry is not ready.
-	<-drain.C
-	return nil
-}
-
 func (p *Process) probes() node.Probes {
 	return node.Probes{
 		Ready: func() bool {
--- a/internal/process/node/node_configuration.go
+++ b/internal/process/node/node_configuration.go
@@ -12,8 +12,12 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/revision"
 )
 
-// planInterval is the time between two looks at what is due.
-const planInterval = 100 * time.Millisecond
+const (
+	// planInterval is the time between two looks at what is due.
+	planInterval = 100 * time.Millisecond
+	// reasonSize bounds the reason of a refusal in bytes.
+	reasonSize = 500
+)
 
 // follower keeps a process's configuration up to date. It is safe for concurrent use.
 type follower struct {
@@ -68,12 +72,18 @@
 	case revision.StateRefused:
 		if v.Fresh {
 			f.node.Trail.Record(f.node.Now(), "configuration", "revision", v.Position.Revision,
-				"state", "refused", "source", source, "reason", v.Err)
+				"state", "refused", "source", source, "reason", short(v.Err))
 		}
 	}
 	return v
 }
 
+// short returns the start of an error's text, for one line of a log.
+func short(err error) string {
+	text := err.Error()
+	return text[:min(len(text), reasonSize)]
+}
+
 // notify wakes the streams of other processes; mu is held.
 func (f *follower) notify() {
 	close(f.changed)
--- a/internal/proof/policy/fleet_test.go
+++ b/internal/proof/policy/fleet_test.go
@@ -158,9 +158,9 @@
 }
 
 // run plays a workload with a strategy for each entry.
-func run(w workload, seed uint64, make func(*rand.Rand, *fleet) strategy) figures {
+func run(w workload, seed uint64, build func(*rand.Rand, *fleet) strategy) figures {
 	f := &fleet{workload: w, random: rand.New(rand.NewPCG(seed, 7)), reports: nil}
-	f.build(make)
+	f.build(build)
 	f.after(0, f.arrive)
 	f.after(0, f.report)
 	for f.agenda.Len() > 0 && f.now < w.span {
@@ -171,7 +171,7 @@
 	return f.finish()
 }
 
-func (f *fleet) build(make func(*rand.Rand, *fleet) strategy) {
+func (f *fleet) build(build func(*rand.Rand, *fleet) strategy) {
 	names := []string{}
 	for i := range f.workload.targets {
 		t := &fakeTarget{index: i, name: "target-" + strconv.Itoa(i), centre: i % f.centres, speed: 1}
@@ -188,11 +188,11 @@
 		entryNames = append(entryNames, "entry-"+strconv.Itoa(i))
 	}
 	for i := range f.workload.entries {
-		f.entries = append(f.entries, f.newEntry(i, entryNames, names, make))
+		f.entries = append(f.entries, f.newEntry(i, entryNames, names, build))
 	}
 }
 
-func (f *fleet) newEntry(i int, entryNames, names []string, make func(*rand.Rand, *fleet) strategy) *fakeEntry {
+func (f *fleet) newEntry(i int, entryNames, names []string, build func(*rand.Rand, *fleet) strategy) *fakeEntry {
 	e := &fakeEntry{centre: i % f.centres, warm: map[uint64]map[int]bool{}, next: i}
 	for centre := range f.centres {
 		f.watch(e, centre, entryNames[i], entryNames, names)
@@ -201,7 +201,7 @@
 	e.flight = slices.Repeat([]int{0}, len(names))
 	e.sends = slices.Repeat([]map[*fakeRequest]bool{nil}, len(names))
 	e.candidates = slices.Repeat([]route.Candidate{{}}, len(e.watched))
-	e.choose = make(rand.New(rand.NewPCG(f.random.Uint64(), 1)), f)
+	e.choose = build(rand.New(rand.NewPCG(f.random.Uint64(), 1)), f)
 	return e
 }
 
