--- a/internal/proof/failure/overload_test.go
+++ b/internal/proof/failure/overload_test.go
@@ -64,8 +64,10 @@
 	tallies := map[string]*tally{}
 	var mu sync.Mutex
 	var group sync.WaitGroup
-	for workspace, rate := range rates {
+	for workspace := range rates {
 		tallies[workspace] = &tally{advice: map[string]int{}}
+	}
+	for workspace, rate := range rates {
 		group.Go(func() {
 			ticker := time.NewTicker(time.Second / time.Duration(rate))
 			defer ticker.Stop()
