--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -28,12 +28,14 @@
 	view *membership.View
 	// picker chooses targets.
 	picker *route.Picker
-	// random is the only source of chance.
-	random *rand.Rand
 	// exchanges holds the requests in progress by ID.
 	exchanges map[string]*exchange
 	// flight counts this entry's requests in progress by target.
 	flight map[string]int
+	// choices holds the targets that this entry chooses from, by pool.
+	choices map[string][]configuration.Target
+	// recent holds when this entry's requests in progress were sent, by target and ID.
+	recent map[string]map[string]time.Time
 	// gossip chooses what other entries are told.
 	gossip *membership.Gossip
 	// failed holds the entries that did not answer last.
@@ -49,6 +51,7 @@
 	// heirs holds the successors of homes that left by the homes' incarnation.
 	heirs map[uint64]heir
 	crashes
+	retries
 	shutdown
 }
 
@@ -79,9 +82,10 @@
 		beat:      o.Beat,
 		shutdown:  shutdown{drain: o.Drain},
 		picker:    route.NewPicker(route.Options{Random: o.Random}),
-		random:    o.Random,
+		retries:   newRetries(o.Random),
 		exchanges: map[string]*exchange{},
 		flight:    map[string]int{},
+		recent:    map[string]map[string]time.Time{},
 		heirs:     map[uint64]heir{},
 		crashes:   crashes{book: suspect.NewBook(), spread: silentBeats * o.Beat / 2},
 	}
--- a/internal/core/entry/entry_fleet.go
+++ b/internal/core/entry/entry_fleet.go
@@ -26,6 +26,7 @@
 		return nil
 	}
 	c.configuration = next
+	c.choices = c.subsets(next)
 	targets := map[string]bool{}
 	for _, t := range next.Targets {
 		targets[t.Name] = true
