--- a/internal/core/slot/slot.go
+++ b/internal/core/slot/slot.go
@@ -11,6 +11,7 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/membership"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/record"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/suspect"
+	"github.com/dragonflydeal/dragonflydeal/internal/site/power"
 )
 
 //go:embed job.chart
@@ -56,6 +57,7 @@
 	running int
 	crashes
 	handover
+	supply
 	// limits bound what is kept.
 	limits Limits
 	// announced is the time from which the stop was announced to the entries.
@@ -112,6 +114,7 @@
 		active:      map[string]*job{},
 		records:     record.NewBook(record.Options{Home: o.Name, Incarnation: incarnation, Limit: o.Limits.Records}),
 		crashes:     crashes{book: suspect.NewBook()},
+		supply:      supply{random: o.Random},
 		limits:      o.Limits,
 	}
 }
@@ -135,6 +138,8 @@
 		return c.takeOver(now, e.Message.Handover)
 	case e.Delivered != nil:
 		return c.delivered(now, e.Delivered)
+	case e.Message != nil:
+		return c.hear(now, e.Message)
 	case e.Configuration != nil:
 		return c.configure(now, e.Configuration)
 	case e.Stop != nil:
@@ -155,6 +160,11 @@
 	return c.state == membership.StateServing
 }
 
+// State returns the target's state.
+func (c *Core) State() chart.State {
+	return c.state
+}
+
 // Revision returns the configuration revision in force, or zero.
 func (c *Core) Revision() int64 {
 	if c.configuration == nil {
@@ -174,7 +184,7 @@
 		State:       c.state,
 		Running:     c.running,
 		Queued:      len(c.queue),
-		Width:       c.target.Width,
+		Width:       c.width(now),
 		Revision:    c.Revision(),
 		Prefixes:    c.prefixes,
 		Suspects:    verdicts.Suspected,
@@ -200,13 +210,15 @@
 	Queued int `json:"queued"`
 	// Known is the number of requests that are kept, finished ones included.
 	Known int `json:"known"`
+	// Power is the target's part of the site's cap, or nil when nothing is limited.
+	Power *power.Status `json:"power,omitempty"`
 }
 
 // Status returns a summary for operators.
-func (c *Core) Status() Status {
+func (c *Core) Status(now time.Time) Status {
 	return Status{
 		Name: c.name, Incarnation: c.incarnation, State: c.state, Revision: c.Revision(),
-		Running: c.running, Queued: len(c.queue), Known: len(c.jobs),
+		Running: c.running, Queued: len(c.queue), Known: len(c.jobs), Power: c.powerStatus(now),
 	}
 }
 
@@ -229,6 +241,7 @@
 	if t, ok := next.Target(c.name); ok {
 		c.target = t
 	}
+	c.plan(now)
 	return append(c.open(), c.admit(now)...)
 }
 
@@ -236,6 +249,7 @@
 func (c *Core) report(now time.Time, r *Report) []Action {
 	c.alive = r.Alive && c.revived()
 	c.prefixes = r.Prefixes
+	c.reported = r.Running
 	if !c.alive && c.state == membership.StateServing {
 		return c.signal("lost")
 	}
@@ -275,5 +289,6 @@
 	actions := c.expire(now)
 	actions = append(actions, c.admit(now)...)
 	actions = append(actions, c.handOver(now)...)
+	actions = append(actions, c.lend(now)...)
 	return append(actions, c.settle(now)...)
 }
