--- a/internal/core/entry/entry_fleet.go
+++ b/internal/core/entry/entry_fleet.go
@@ -53,7 +53,11 @@
 		_, ok := targets[target]
 		return ok
 	}
-	c.view.Watch(direct, silentBeats*c.subset.Beat)
+	silence := c.silence
+	if !c.subset.Whole {
+		silence = silentBeats * c.subset.Beat
+	}
+	c.view.Watch(direct, silence)
 	return []Action{{Watch: &Watch{Targets: targets, Beat: c.subset.Beat}}}
 }
 
@@ -166,3 +170,9 @@
 	}
 	return membership.Partner(c.configuration, c.name, c.centre, c.random)
 }
+
+// Age returns the age of what is known of a target.
+func (c *Core) Age(now time.Time, target string) (age time.Duration, ok bool) {
+	m, ok := c.view.Member(now, target)
+	return now.Sub(m.Made), ok
+}
--- a/internal/fleet/revision/revision_source.go
+++ b/internal/fleet/revision/revision_source.go
@@ -17,6 +17,8 @@
 	asked = 4
 	// hold is how long a source that failed is passed over.
 	hold = 5 * time.Second
+	// centreTries is the number of entries of a data centre that fail before the next one is tried.
+	centreTries = 2
 )
 
 // Plan tells where a process learns of newer values.
@@ -80,6 +82,16 @@
 	return find(c, s.name) != nil
 }
 
+// failures returns the number of entries of a data centre that are passed over.
+func (s *Sources) failures(now time.Time, c *configuration.Configuration, centre string) (count int) {
+	for _, e := range c.Entries {
+		if e.Centre == centre && !s.usable(now, e.Name) {
+			count++
+		}
+	}
+	return count
+}
+
 // order returns the usable entries of a data centre, the process itself included, ranked for a key.
 func (s *Sources) order(now time.Time, c *configuration.Configuration, centre, key string) []string {
 	var names []string
@@ -101,6 +113,9 @@
 			step = len(c.Centres) - i
 		}
 		centre := c.Centres[(max(own, 0)+step)%len(c.Centres)].Name
+		if s.failures(now, c, centre) >= centreTries {
+			continue
+		}
 		if names := s.order(now, c, centre, centre); len(names) > 0 {
 			return find(c, names[rank%2%len(names)])
 		}
--- a/internal/fleet/revision/revision_test.go
+++ b/internal/fleet/revision/revision_test.go
@@ -190,12 +190,12 @@
 	c := fleet(1, 630, 3700)
 	now := time.Unix(0, 0)
 	r := NewReader(rand.New(rand.NewPCG(1, 2)))
-	is.True(r.Due(now, true, 0))
-	is.True(!r.Due(now, false, 0))
-	is.True(r.Due(now, false, patience+1))
+	is.True(r.Due(now, true, 0, c))
+	is.True(!r.Due(now, false, 0, c))
+	is.True(!r.Due(now, false, patience, c))
 	reads := 0
 	for end := now.Add(time.Minute); now.Before(end); now = now.Add(10 * time.Millisecond) {
-		if r.Due(now, false, time.Hour) {
+		if r.Due(now, false, time.Hour, c) {
 			reads++
 			r.Failed(now, false, c)
 		}
@@ -205,6 +205,27 @@
 	is.True(reads > 5)
 }
 
+// TestCentreLost checks that a watcher soon looks past a data centre whose entries do not answer.
+func TestCentreLost(t *testing.T) {
+	is := is.New(t)
+	c := fleet(3, 210, 0)
+	now := time.Unix(0, 0)
+	for _, e := range c.Entries {
+		s := NewSources(e.Name, e.Centre)
+		plan := s.Plan(now, c)
+		if !plan.Watch {
+			continue
+		}
+		lost := plan.Parent.Centre
+		for range centreTries {
+			s.Fail(now, plan.Parent.Name)
+			plan = s.Plan(now, c)
+		}
+		is.True(plan.Parent.Centre != lost)
+		is.Equal(s.Plan(now.Add(hold), c).Parent.Centre, lost)
+	}
+}
+
 func BenchmarkPatch(b *testing.B) {
 	book := NewBook()
 	book.Take(value(1, 6000, "a"))
--- a/internal/process/node/node_configuration_read.go
+++ b/internal/process/node/node_configuration_read.go
@@ -42,10 +42,11 @@
 // due reports whether to read the service now.
 func (f *follower) due() bool {
 	plan := f.plan()
+	c, _ := f.current()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.node.Now()
-	return f.reader.Due(now, plan.Watch, f.book.Age(now))
+	return f.reader.Due(now, plan.Watch, f.book.Age(now), c)
 }
 
 // settle passes the result of a read to the reader's pace.
--- a/internal/process/slotd/slotd_engine.go
+++ b/internal/process/slotd/slotd_engine.go
@@ -23,7 +23,9 @@
 	pollInterval = 250 * time.Millisecond
 	// pollTimeout bounds one read of the load report.
 	pollTimeout = time.Second
-	readSize    = 32 << 10
+	// onceGrace is how long the answer to a non-idempotent call is waited for after its deadline.
+	onceGrace = 10 * time.Second
+	readSize  = 32 << 10
 	// engineSilence is the time without a byte in the middle of an answer after which the connection counts as silent.
 	engineSilence = 3 * time.Second
 )
@@ -108,7 +110,7 @@
 	})
 	ctx, giveUp := context.WithCancelCause(ctx)
 	defer giveUp(nil)
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, limitOf(r))
 	defer cancel()
 	request, err := p.request(ctx, r)
 	if err != nil {
@@ -129,6 +131,15 @@
 	return result
 }
 
+// limitOf returns the time at which a run is given up. The answer to a non-idempotent call
+// is read beyond its caller's deadline, because the caller will ask for it again.
+func limitOf(r *slot.Run) time.Time {
+	if r.Request.Key != "" {
+		return r.Deadline.Add(onceGrace)
+	}
+	return r.Deadline
+}
+
 // body hides the type of a reader, so that no part of the HTTP client can rewind and repeat it.
 type body struct {
 	io.Reader
@@ -142,6 +153,7 @@
 	}
 	request.ContentLength = int64(len(r.Request.Body))
 	request.Header.Set("Request-Id", r.Request.ID)
+	request.Header.Set("Request-Timeout", r.Deadline.Sub(p.Now()).String())
 	request.Header.Set("Workspace", r.Request.Workspace)
 	if r.Request.Key != "" {
 		request.Header.Set("Idempotency-Key", r.Request.Key)
