--- a/internal/base/document/decode.go
+++ b/internal/base/document/decode.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"reflect"
 	"strings"
+	"sync"
 
 	"github.com/tailscale/hujson"
 )
@@ -174,8 +175,20 @@
 	field reflect.StructField
 }
 
+// known holds the keys of each struct type that was decoded.
+var known sync.Map
+
 // fields returns the keys of a struct in their declared order.
-func fields(t reflect.Type) (out []field) {
+func fields(t reflect.Type) []field {
+	if out, ok := known.Load(t); ok {
+		return out.([]field)
+	}
+	out := findFields(t)
+	known.Store(t, out)
+	return out
+}
+
+func findFields(t reflect.Type) (out []field) {
 	for i := range t.NumField() {
 		f := t.Field(i)
 		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
--- a/internal/fleet/revision/revision_source.go
+++ b/internal/fleet/revision/revision_source.go
@@ -15,8 +15,9 @@
 	degree = 8
 	// asked is the number of peers that a starting process asks for its revision.
 	asked = 4
-	// hold is how long a source that failed is passed over.
-	hold = 5 * time.Second
+	// firstHold and lastHold bound how long a source that failed is passed over; the time doubles with each failure.
+	firstHold = time.Second
+	lastHold  = 8 * time.Second
 	// centreTries is the number of entries of a data centre that fail before the next one is tried.
 	centreTries = 2
 )
@@ -33,18 +34,27 @@
 type Sources struct {
 	// name and centre are those of the process.
 	name, centre string
-	// failed holds the times at which entries could not be followed.
-	failed map[string]time.Time
+	// failed holds the entries that could not be followed last.
+	failed map[string]failure
+}
+
+// failure is what is known of an entry that could not be followed.
+type failure struct {
+	// until is the end of the time in which the entry is passed over.
+	until time.Time
+	// hold is the length of that time.
+	hold time.Duration
 }
 
 // NewSources returns the Sources of a process.
 func NewSources(name, centre string) *Sources {
-	return &Sources{name: name, centre: centre, failed: map[string]time.Time{}}
+	return &Sources{name: name, centre: centre, failed: map[string]failure{}}
 }
 
 // Fail notes that an entry could not be followed.
 func (s *Sources) Fail(now time.Time, entry string) {
-	s.failed[entry] = now
+	hold := min(max(2*s.failed[entry].hold, firstHold), lastHold)
+	s.failed[entry] = failure{until: now.Add(hold), hold: hold}
 }
 
 // Clear notes that an entry answered.
@@ -54,8 +64,7 @@
 
 // usable reports whether an entry may be tried.
 func (s *Sources) usable(now time.Time, entry string) bool {
-	at, ok := s.failed[entry]
-	return !ok || now.Sub(at) >= hold
+	return !now.Before(s.failed[entry].until)
 }
 
 // Plan returns the present sources. Entries of a data centre form a tree with the watchers at its top;
--- a/internal/fleet/revision/revision_test.go
+++ b/internal/fleet/revision/revision_test.go
@@ -181,7 +181,7 @@
 		}
 		is.True(plan.Watch)
 		is.True(plan.Parent == nil)
-		is.True(s.Plan(now.Add(hold), c).Parent != nil || NewSources(e.Name, e.Centre).Plan(now, c).Watch)
+		is.True(s.Plan(now.Add(lastHold), c).Parent != nil || NewSources(e.Name, e.Centre).Plan(now, c).Watch)
 	}
 }
 
@@ -222,7 +222,7 @@
 			plan = s.Plan(now, c)
 		}
 		is.True(plan.Parent.Centre != lost)
-		is.Equal(s.Plan(now.Add(hold), c).Parent.Centre, lost)
+		is.Equal(s.Plan(now.Add(lastHold), c).Parent.Centre, lost)
 	}
 }
 
--- a/internal/proof/failure/drain_test.go
+++ b/internal/proof/failure/drain_test.go
@@ -160,6 +160,7 @@
 
 // TestPlatformHint lists a target as leaving that has got no signal: it gets no more new work.
 func TestPlatformHint(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newSite(t, siteOptions{centres: 2, entries: 3, engines: 2, step: time.Millisecond})
 	var entries []*process
