Count and log each request; bound slow senders and alien connections

Cause: /debug/vars was that of the whole program and held no metric of a process; a request could not be followed from entry to slot in the logs; a caller that sent its body slowly, and anything that spoke no drpc at the address for processes, kept a connection for good (the test of addresses hung until it was killed, with an HTTP request at the address for processes). Ruled out: go-kit's expvar metrics (global names clash between processes in one program); ReadTimeout of the server (it cuts long answers). Change: a set of metrics for each process behind go-kit's interfaces, with HdrHistogram; log lines accepted, sent, ran, ended with id; a read deadline that ends with the body; an inactivity limit of 5 s for drpc connections without a call.

--- a/internal/process/entryd/entryd.go
+++ b/internal/process/entryd/entryd.go
@@ -30,6 +30,8 @@
 	exit chan struct{}
 	// ctx ends with the process and bounds all attempts.
 	ctx context.Context
+	// counts are the metrics.
+	counts *counts
 
 	mu sync.Mutex
 	// core is guarded by mu.
@@ -59,9 +61,11 @@
 
 // New returns a Process that does not run yet.
 func New(o Options) *Process {
+	n := node.New(o.Options)
 	return &Process{
-		Node: node.New(o.Options),
-		exit: make(chan struct{}),
+		Node:   n,
+		exit:   make(chan struct{}),
+		counts: newCounts(n.Metrics),
 		core: entry.New(entry.Options{
 			Name: o.Settings.Name, Centre: o.Settings.Centre, Random: o.Random,
 			Silence: silentBeats * time.Duration(o.Settings.Beat),
--- /dev/null
+++ b/internal/process/entryd/entryd_body.go
@@ -0,0 +1,32 @@
+package entryd
+
+import (
+	"io"
+	"net/http"
+	"time"
+)
+
+// bodyTimeout is the longest time for a caller to send the body of a request.
+const bodyTimeout = 15 * time.Second
+
+// timedBody ends the time limit on a connection's reads once the body was read, so that long answers are not cut.
+type timedBody struct {
+	io.ReadCloser
+	control *http.ResponseController
+}
+
+// limitBody bounds the size of a body and the time to send it.
+func limitBody(w http.ResponseWriter, r *http.Request, size int64, now time.Time) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(now.Add(bodyTimeout))
+	r.Body = &timedBody{ReadCloser: http.MaxBytesReader(w, r.Body, size), control: control}
+}
+
+// Read implements io.Reader.
+func (b *timedBody) Read(data []byte) (n int, err error) {
+	n, err = b.ReadCloser.Read(data)
+	if err == io.EOF {
+		_ = b.control.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
--- a/internal/process/entryd/entryd_callers.go
+++ b/internal/process/entryd/entryd_callers.go
@@ -48,9 +48,9 @@
 	var serve endpoint.Endpoint = func(ctx context.Context, request any) (any, error) {
 		return p.submit(ctx, request.(*entry.Arrival)), nil
 	}
-	server := httptransport.NewServer(serve, p.decode, p.encode, httptransport.ServerErrorEncoder(encodeError))
+	server := httptransport.NewServer(serve, p.decode, p.encode, httptransport.ServerErrorEncoder(p.encodeError))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		r.Body = http.MaxBytesReader(w, r.Body, p.Settings.Body)
+		limitBody(w, r, p.Settings.Body, p.Now())
 		server.ServeHTTP(w, r)
 	})
 }
@@ -136,6 +136,7 @@
 // submit hands a request to the core and returns its reply.
 func (p *Process) submit(ctx context.Context, a *entry.Arrival) *reply {
 	r := newReply()
+	r.request = p.newRequest(a)
 	p.mu.Lock()
 	p.replies[a.ID] = r
 	p.mu.Unlock()
@@ -162,6 +163,7 @@
 	r := response.(*reply)
 	defer p.forget(r.id)
 	defer r.close()
+	defer r.request.leave()
 	out := newWriter(w)
 	defer out.release()
 	for {
@@ -172,6 +174,7 @@
 		case <-r.wake:
 		}
 		for _, v := range r.take() {
+			r.request.note(v)
 			if done := out.write(v); done {
 				return nil
 			}
@@ -179,7 +182,7 @@
 	}
 }
 
-func encodeError(_ context.Context, err error, w http.ResponseWriter) {
+func (p *Process) encodeError(_ context.Context, err error, w http.ResponseWriter) {
 	status, outcome := http.StatusBadRequest, call.OutcomeNotRun
 	var input *inputError
 	if errors.As(err, &input) {
@@ -188,5 +191,6 @@
 			outcome = call.OutcomeUnknown
 		}
 	}
+	p.reject(status, outcome, err)
 	writeProblem(w, problem{Status: status, Outcome: outcome.String(), Detail: fmt.Sprint(err)})
 }
--- a/internal/process/entryd/entryd_reply.go
+++ b/internal/process/entryd/entryd_reply.go
@@ -23,6 +23,8 @@
 type reply struct {
 	// id is the request.
 	id string
+	// request takes the account of the request.
+	request *request
 	// wake has room for one signal.
 	wake chan struct{}
 
--- a/internal/process/entryd/entryd_slots.go
+++ b/internal/process/entryd/entryd_slots.go
@@ -28,6 +28,7 @@
 // attempt sends a request to a slot and passes the answer to the core.
 func (p *Process) attempt(ctx context.Context, cancel context.CancelFunc, s *entry.Send) {
 	defer cancel()
+	p.sent(s)
 	sent, err := p.exchange(ctx, s)
 	p.mu.Lock()
 	if p.attempts[s.Request.ID].number == s.Request.Attempt {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -11,11 +11,13 @@
 	"net/netip"
 	"time"
 
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/settings"
 	"github.com/dragonflydeal/dragonflydeal/internal/operator/audit"
+	"github.com/dragonflydeal/dragonflydeal/internal/operator/metrics"
 	"github.com/dragonflydeal/dragonflydeal/internal/wire/link"
 )
 
@@ -24,6 +26,8 @@
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 60 * time.Second
 	headerSize    = 16 << 10
+	// peerTimeout closes a connection of another process that sends no call for so long.
+	peerTimeout = 5 * time.Second
 	// closeTimeout bounds the flushing of written answers at the end of a process.
 	closeTimeout = time.Second
 )
@@ -36,6 +40,8 @@
 	Log *slog.Logger
 	// Trail takes the changes for the audit trail.
 	Trail *audit.Trail
+	// Metrics holds the counters and histograms.
+	Metrics *metrics.Set
 	// Pool keeps connections to other processes.
 	Pool *link.Pool
 	// Mux serves the system's other processes.
@@ -65,6 +71,7 @@
 		Settings: o.Settings,
 		Log:      log,
 		Trail:    audit.NewTrail(log),
+		Metrics:  metrics.NewSet(),
 		Pool: link.NewPool(link.Options{
 			Local: o.Settings.Listen.Addr(), Dial: o.Dial, Silence: time.Duration(o.Settings.Ping),
 		}),
@@ -86,7 +93,8 @@
 
 // ServePeers serves the system's other processes until the context ends.
 func (n *Node) ServePeers(ctx context.Context, l net.Listener) error {
-	return drpcserver.New(n.Mux).Serve(ctx, l)
+	options := drpcserver.Options{Manager: drpcmanager.Options{InactivityTimeout: peerTimeout}}
+	return drpcserver.NewWithOptions(n.Mux, options).Serve(ctx, l)
 }
 
 // ServeHTTP serves HTTP until the context ends, then closes what is left.
--- a/internal/process/node/node_operators.go
+++ b/internal/process/node/node_operators.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"expvar"
 	"net/http"
 
 	"github.com/go-kit/kit/endpoint"
@@ -21,7 +20,7 @@
 // Operators returns the handler of the operators' address.
 func (n *Node) Operators(p Probes) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.Handle("GET /debug/vars", n.Metrics)
 	mux.Handle("GET /health", reply(func() any { return map[string]bool{"alive": true} }))
 	mux.Handle("GET /status", reply(p.Status))
 	mux.Handle("GET /audit", reply(func() any { return n.Trail.Changes() }))
--- a/internal/process/slotd/slotd.go
+++ b/internal/process/slotd/slotd.go
@@ -28,6 +28,8 @@
 	once *http.Client
 	// exit is closed when the core has nothing in progress after a stop.
 	exit chan struct{}
+	// counts are the metrics.
+	counts *counts
 
 	mu sync.Mutex
 	// core is guarded by mu.
@@ -55,8 +57,10 @@
 func New(o Options) *Process {
 	limits := slot.DefaultLimits
 	limits.Announce = time.Duration(o.Settings.Drain)
+	n := node.New(o.Options)
 	return &Process{
-		Node:    node.New(o.Options),
+		Node:    n,
+		counts:  newCounts(n.Metrics),
 		client:  newClient(true),
 		once:    newClient(false),
 		exit:    make(chan struct{}),
--- a/internal/process/slotd/slotd_engine.go
+++ b/internal/process/slotd/slotd_engine.go
@@ -87,7 +87,9 @@
 
 // run calls the engine and passes its answer to the core.
 func (p *Process) run(ctx context.Context, r *slot.Run) {
+	began := p.started(r)
 	result := p.call(ctx, r)
+	p.ran(r, result, began)
 	if result.Outcome == call.OutcomeFailed && ctx.Err() == nil {
 		result.Crashed = !p.read(p.ctx).Alive
 	}
--- a/internal/process/slotd/slotd_server.go
+++ b/internal/process/slotd/slotd_server.go
@@ -50,6 +50,7 @@
 func (s *server) Serve(request *message.Request, out message.DRPCSlot_ServeStream) error {
 	p := s.process
 	r := request.Call()
+	p.accepted(&r)
 	number, answer := p.open()
 	defer p.close(r.Identity(), number)
 	p.handle(slot.Event{Arrival: &slot.Arrival{Request: r, Stream: number}})
@@ -69,6 +70,7 @@
 					return err
 				}
 				if c.End {
+					p.ended(&c)
 					return nil
 				}
 				if !c.Ping() {
--- /dev/null
+++ b/internal/process/slotd/slotd_test.go
@@ -0,0 +1,88 @@
+package slotd
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
+	"github.com/dragonflydeal/dragonflydeal/internal/fleet/settings"
+	"github.com/dragonflydeal/dragonflydeal/internal/process/node"
+	"github.com/dragonflydeal/dragonflydeal/internal/trial/engine"
+	"github.com/dragonflydeal/dragonflydeal/internal/trial/platform"
+)
+
+// readyTimeout bounds the wait for the slot.
+const readyTimeout = 10 * time.Second
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// options returns a slot of the only target of a configuration.
+func options(t *testing.T, stand *platform.Platform, platformAddress, engineAddress string) Options {
+	t.Helper()
+	s := settings.Settings{
+		Name: "desk-1", Centre: "c1", Platform: netip.MustParseAddrPort(platformAddress), Engine: netip.MustParseAddrPort(engineAddress),
+		Listen: freeAddress(t), Operators: freeAddress(t), Drain: configuration.Duration(10 * time.Millisecond),
+	}
+	s.Default()
+	config := &configuration.Configuration{
+		Format: "1.0", Revision: 1, Centres: []configuration.Centre{{Name: "c1"}},
+		Targets: []configuration.Target{{
+			Name: "desk-1", Centre: "c1", Kind: configuration.KindEngine, Pool: "desk", Width: 1, Address: s.Listen,
+		}},
+	}
+	data, err := config.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	stand.Publish(1, data)
+	return Options{
+		Options: node.Options{Settings: &s, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Now: time.Now},
+		Random:  rand.New(rand.NewPCG(1, 1)),
+	}
+}
+
+func TestStopLeavesNoGoroutine(t *testing.T) {
+	is := is.New(t)
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	defer http.DefaultClient.CloseIdleConnections()
+	stand := platform.New()
+	service := httptest.NewServer(stand.Handler())
+	defer service.Close()
+	target := httptest.NewServer(engine.New(engine.Options{Step: time.Millisecond}).Handler())
+	defer target.Close()
+	o := options(t, stand, service.Listener.Addr().String(), target.Listener.Addr().String())
+	ctx, cancel := context.WithCancel(context.Background())
+	result := make(chan error, 1)
+	go func() { result <- New(o).Run(ctx) }()
+	ready := false
+	for deadline := time.Now().Add(readyTimeout); !ready && time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		response, err := http.Get("http://" + o.Settings.Operators.String() + "/ready")
+		if err != nil {
+			continue
+		}
+		_ = response.Body.Close()
+		ready = response.StatusCode == http.StatusOK
+	}
+	is.True(ready)
+	cancel()
+	is.NoErr(<-result)
+}
