Ask for different prompts in the load of the drain tests

Cause: with prefix affinity, equal prompts all went to the target that had the prefix in its cache, so that TestPlatformHint waited for work at another one (failed twice in a row, 'the target has work'). Change: each request of the load has a prompt of its own; assertions stay. Seen: TestPlatformHint and the tests of two faults pass under -race.

--- a/internal/proof/failure/drain_test.go
+++ b/internal/proof/failure/drain_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -23,6 +24,8 @@
 
 // load is a number of callers that ask again and again.
 type load struct {
+	// asked counts the requests.
+	asked atomic.Int64
 	stop  chan struct{}
 	group sync.WaitGroup
 
@@ -33,26 +36,28 @@
 	bad []answer
 }
 
-// newLoad starts callers at each of some entries.
-func newLoad(callers int, q question, text string, entries ...*process) *load {
+// newLoad starts callers of short answers at each of some entries. Their prompts differ, so that
+// no target is preferred for what it has in its cache.
+func newLoad(callers int, entries ...*process) *load {
 	l := &load{stop: make(chan struct{})}
 	for _, e := range entries {
 		for range callers {
-			l.group.Go(func() { l.run(e, q, text) })
+			l.group.Go(func() { l.run(e) })
 		}
 	}
 	return l
 }
 
-func (l *load) run(e *process, q question, text string) {
+func (l *load) run(e *process) {
 	for {
 		select {
 		case <-l.stop:
 			return
 		default:
 		}
-		a := e.ask(q)
-		l.count(a, text)
+		prompt := fmt.Sprintf("short%d", l.asked.Add(1))
+		a := e.ask(question{path: "/v1/desk", body: fmt.Sprintf(`{"prompt":%q,"tokens":5}`, prompt)})
+		l.count(a, engine.Expected(prompt, 5))
 		if !a.whole {
 			time.Sleep(5 * time.Millisecond)
 		}
@@ -118,7 +123,7 @@
 			s := newSite(t, siteOptions{centres: 1, entries: 2, engines: 2, step: 5 * time.Millisecond})
 			entry, other, slot := s.processes["entry-c1-0"], s.processes["entry-c1-1"], s.processes["desk-c1-0"]
 			held := s.hold(entry, slot)
-			l := newLoad(2, shortQuestion, engine.Expected("short", 5), entry, other)
+			l := newLoad(2, entry, other)
 			s.await("the target has work", func() bool { return s.engines["desk-c1-0"].Total() > 5 })
 			test.fault(s, entry, slot)
 			slot.signal(syscall.SIGTERM)
@@ -167,7 +172,7 @@
 	for _, e := range s.config.Entries {
 		entries = append(entries, s.processes[e.Name])
 	}
-	l := newLoad(1, shortQuestion, engine.Expected("short", 5), entries...)
+	l := newLoad(1, entries...)
 	s.await("the target has work", func() bool { return s.engines["desk-c1-0"].Total() > 5 })
 	s.platform.SetInstances([]platform.Instance{{Name: "desk-c1-0", State: "leaving"}})
 	last := lastNew(s.engines["desk-c1-0"], 8*time.Second)
@@ -178,7 +183,7 @@
 	is.Equal(l.refused, 0)
 	s.platform.SetInstances(nil)
 	before := s.engines["desk-c1-0"].Total()
-	l = newLoad(1, shortQuestion, engine.Expected("short", 5), entries...)
+	l = newLoad(1, entries...)
 	s.await("the target has work again", func() bool { return s.engines["desk-c1-0"].Total() > before })
 	l.end()
 }
--- a/internal/proof/failure/twofaults_test.go
+++ b/internal/proof/failure/twofaults_test.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/dragonflydeal/dragonflydeal/internal/trial/engine"
 )
 
 // TestFreezeAndStale freezes an entry while the service is stale, and restarts processes meanwhile.
@@ -61,7 +59,7 @@
 			is := is.New(t)
 			s := newSite(t, siteOptions{centres: 1, entries: 2, engines: 2, step: 2 * time.Millisecond})
 			held := s.hold(s.processes["entry-c1-0"], s.processes["desk-c1-0"])
-			other := newLoad(1, shortQuestion, engine.Expected("short", 5), s.processes["entry-c1-1"])
+			other := newLoad(1, s.processes["entry-c1-1"])
 			s.processes[test.stop].signal(syscall.SIGTERM)
 			silent := 0
 			for _, name := range test.silent {
