Look targets and workspaces up by an index made when a configuration is read

Cause: an entry looks up each heartbeat of a digest, and each lookup read the whole list: a term that is quadratic in the number of targets. Configurations that are built by hand, as in tests, have no index and are searched as before.

--- a/internal/fleet/configuration/configuration.go
+++ b/internal/fleet/configuration/configuration.go
@@ -42,6 +42,8 @@
 
 	// warnings are the unknown keys of a newer minor format.
 	warnings document.Faults
+	// names is nil or leads from names to places; it is made when the value was read.
+	names *names
 }
 
 // Centre is a data centre.
@@ -145,26 +147,6 @@
 	return err
 }
 
-// Target returns the target of a name.
-func (c *Configuration) Target(name string) (Target, bool) {
-	for _, t := range c.Targets {
-		if t.Name == name {
-			return t, true
-		}
-	}
-	return Target{}, false
-}
-
-// Workspace returns the workspace of a name.
-func (c *Configuration) Workspace(name string) (Workspace, bool) {
-	for _, w := range c.Workspaces {
-		if w.Name == name {
-			return w, true
-		}
-	}
-	return Workspace{}, false
-}
-
 // Match returns the route with the longest prefix of a path.
 func (c *Configuration) Match(path string) (route Route, ok bool) {
 	for _, r := range c.Routes {
@@ -177,14 +159,3 @@
 	}
 	return route, ok
 }
-
-// Pool returns the targets of a pool in the configured order.
-func (c *Configuration) Pool(name string) []Target {
-	var pool []Target
-	for _, t := range c.Targets {
-		if t.Pool == name {
-			pool = append(pool, t)
-		}
-	}
-	return pool
-}
--- a/internal/fleet/configuration/configuration_parse.go
+++ b/internal/fleet/configuration/configuration_parse.go
@@ -47,7 +47,11 @@
 			more = append(more, f)
 		}
 	}
-	return c, append(faults, d.Locate(data, more)...).Sorted()
+	faults = append(faults, d.Locate(data, more)...).Sorted()
+	if len(faults) == 0 {
+		c.index()
+	}
+	return c, faults
 }
 
 // Warnings are the keys that a newer minor format has and this program does not know; they are not in force.
--- a/internal/fleet/configuration/configuration_test.go
+++ b/internal/fleet/configuration/configuration_test.go
@@ -1,6 +1,7 @@
 package configuration
 
 import (
+	"fmt"
 	"os"
 	"reflect"
 	"strings"
@@ -116,3 +117,23 @@
 		}
 	})
 }
+
+// BenchmarkTarget looks up each target of a large fleet as a core does it.
+func BenchmarkTarget(b *testing.B) {
+	c := &Configuration{}
+	for i := range 3700 {
+		c.Targets = append(c.Targets, Target{Name: fmt.Sprintf("desk-%d", i)})
+	}
+	for _, indexed := range []bool{false, true} {
+		b.Run(fmt.Sprintf("indexed=%v", indexed), func(b *testing.B) {
+			if indexed {
+				c.index()
+			}
+			for b.Loop() {
+				for i := range c.Targets {
+					_, _ = c.Target(c.Targets[i].Name)
+				}
+			}
+		})
+	}
+}
