--- a/internal/core/entry/entry_attempt.go
+++ b/internal/core/entry/entry_attempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/membership"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/peer"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/route"
 )
 
@@ -56,12 +57,13 @@
 	}
 	targets = c.preferred(now, targets)
 	prefix := prefixOf(x, targets)
+	peers := c.board(x).Compare(now)
 	for _, t := range targets {
 		m, _ := c.view.Member(now, t.Name)
 		candidates = append(candidates, route.Candidate{
 			Name: t.Name, Near: t.Centre == c.centre, Width: m.Width,
 			Running: m.Running, Queued: m.Queued, Age: now.Sub(m.Made), Own: c.flight[t.Name], Since: c.since(t.Name, m.Made),
-			Warm: slices.Contains(m.Prefixes, prefix),
+			Warm: slices.Contains(m.Prefixes, prefix), Failing: peers.Verdict(t.Name) == peer.Failing,
 		})
 	}
 	return targets, candidates
--- a/internal/core/entry/entry_fleet.go
+++ b/internal/core/entry/entry_fleet.go
@@ -32,6 +32,9 @@
 		targets[t.Name] = true
 	}
 	c.view.Forget(func(name string) bool { return targets[name] })
+	for _, b := range c.boards {
+		b.Forget(func(name string) bool { return targets[name] })
+	}
 	return c.watch()
 }
 
--- a/internal/core/entry/entry_request.go
+++ b/internal/core/entry/entry_request.go
@@ -170,7 +170,7 @@
 		c.succeed(now, x)
 		return c.complete(x, k)
 	case call.OutcomeNotRun:
-		x.tried[x.target] = true
+		c.fail(now, x)
 		switch {
 		case x.request.Lookup:
 			return c.finish(x, statusOf(k, http.StatusGone), k.Outcome, k.Reason, k.Retry)
@@ -231,7 +231,7 @@
 	x.signal("break")
 	x.sent = x.sent || b.Sent
 	if !x.sent {
-		x.tried[x.target] = true
+		c.fail(now, x)
 		if x.request.Key != "" || x.request.Lookup {
 			return c.unreachable(now, x, b.Reason)
 		}
@@ -250,7 +250,7 @@
 		return c.send(now, x, t)
 	}
 	if x.request.Key == "" && !x.request.Lookup && x.assembler.Offset() == 0 {
-		x.tried[x.target] = true
+		c.fail(now, x)
 		x.sent = false
 		x.doubt = true
 		return c.attempt(now, x)
--- /dev/null
+++ b/internal/request/peer/peer_test.go
@@ -0,0 +1,41 @@
+package peer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestJudge(t *testing.T) {
+	// counts are attempts and failures.
+	type counts struct{ attempts, failures int }
+	tests := []struct {
+		name      string
+		own, rest counts
+		after     time.Duration
+		want      Verdict
+	}{
+		{"no samples", counts{}, counts{}, 0, None},
+		{"below the floor", counts{3, 3}, counts{100, 0}, 0, None},
+		{"peers below the floor", counts{100, 100}, counts{3, 0}, 0, None},
+		{"sound", counts{20, 1}, counts{100, 0}, 0, Sound},
+		{"failing", counts{20, 10}, counts{100, 2}, 0, Failing},
+		{"a shared outage", counts{20, 20}, counts{100, 95}, 0, Sound},
+		{"forgotten", counts{20, 20}, counts{100, 0}, 10 * time.Second, None},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			b := NewBoard()
+			now := time.Unix(0, 0)
+			for i := range test.own.attempts {
+				b.Note(now, "own", i < test.own.failures)
+			}
+			for i := range test.rest.attempts {
+				b.Note(now, "other", i < test.rest.failures)
+			}
+			is.Equal(b.Compare(now.Add(test.after)).Verdict("own"), test.want)
+		})
+	}
+}
--- a/internal/request/route/route.go
+++ b/internal/request/route/route.go
@@ -25,6 +25,8 @@
 	Since int
 	// Warm tells that the target is known to have the request's prompt prefix in its cache.
 	Warm bool
+	// Failing tells that the target fails much more than its peers.
+	Failing bool
 }
 
 const (
@@ -32,6 +34,8 @@
 	farCost = 0.25
 	// coldCost is what a target without the prompt prefix must be less loaded, relative to the width.
 	coldCost = 0.5
+	// failingCost is what a failing target must be less loaded, relative to the width.
+	failingCost = 2
 	// samples is the number of random candidates of the own data centre that are compared.
 	samples = 8
 	// defaultRelaxation is the age at which a report has lost most of its worth.
--- a/internal/request/route/route_load.go
+++ b/internal/request/route/route_load.go
@@ -44,6 +44,9 @@
 // cost returns what speaks against a candidate, in loads relative to the width.
 func (p *Picker) cost(c *Candidate, v pool, prefix uint64) float64 {
 	cost := p.load(c, v)
+	if c.Failing {
+		cost += failingCost
+	}
 	if !c.Near {
 		cost += farCost
 	}
