--- a/internal/core/slot/slot_viewer.go
+++ b/internal/core/slot/slot_viewer.go
@@ -35,23 +35,23 @@
 	j.viewers = append(j.viewers, v)
 	j.detached = time.Time{}
 	acknowledge := Action{Chunk: &Chunk{Stream: a.Stream, Chunk: call.Chunk{ID: a.ID, Offset: a.Offset}}}
-	return append([]Action{acknowledge}, j.flushTo(v)...)
+	return j.flushTo([]Action{acknowledge}, v)
 }
 
 // flush hands to each attached stream what it has not had yet, and the end.
 func (j *job) flush() (actions []Action) {
 	for _, v := range j.viewers {
-		actions = append(actions, j.flushTo(v)...)
+		actions = j.flushTo(actions, v)
 	}
 	return actions
 }
 
-// flushTo hands to one stream what it has not had yet, and the end.
-func (j *job) flushTo(v *viewer) []Action {
+// flushTo adds what one stream has not had yet, and the end.
+func (j *job) flushTo(actions []Action, v *viewer) []Action {
 	data, dropped := j.buffer.From(v.sent)
 	ended := !j.ended.IsZero()
 	if v.busy || len(data) == 0 && !ended && !dropped {
-		return nil
+		return actions
 	}
 	if len(data) > maxChunk {
 		data = data[:maxChunk]
@@ -65,7 +65,7 @@
 	case ended && v.sent == j.buffer.Size():
 		k.End, k.Outcome, k.Reason, k.Crashed = true, j.outcome, j.reason, j.crashed
 	}
-	return []Action{{Chunk: &Chunk{Stream: v.stream, Chunk: k}}}
+	return append(actions, Action{Chunk: &Chunk{Stream: v.stream, Chunk: k}})
 }
 
 // drained hands the next part of an answer to a stream that has sent the one before.
@@ -77,7 +77,7 @@
 	for _, v := range j.viewers {
 		if v.stream == d.Stream {
 			v.busy = false
-			return j.flushTo(v)
+			return j.flushTo(nil, v)
 		}
 	}
 	return nil
--- a/internal/process/entryd/entryd_writer.go
+++ b/internal/process/entryd/entryd_writer.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"time"
 	"unicode/utf8"
@@ -23,6 +22,8 @@
 	started bool
 	// rest holds the start of a character whose last bytes have not come yet.
 	rest []byte
+	// line is used again for each event.
+	line []byte
 }
 
 func newWriter(w http.ResponseWriter) *writer {
@@ -70,13 +71,19 @@
 		return false
 	}
 	o.start(f.Status, "text/event-stream")
-	data := append(o.rest, f.Data...)
+	data := f.Data
+	if len(o.rest) > 0 {
+		data = append(o.rest, f.Data...)
+	}
 	whole := len(data) - incomplete(data)
 	if !utf8.Valid(data[:whole]) {
 		o.notText()
 		return true
 	}
-	o.rest = append([]byte(nil), data[whole:]...)
+	o.rest = nil
+	if whole < len(data) {
+		o.rest = append(o.rest, data[whole:]...)
+	}
 	if whole == 0 {
 		return false
 	}
@@ -137,15 +144,19 @@
 	Size int64 `json:"size"`
 }
 
+// event writes one event with one write, so that its parts come together or not at all.
 func (o *writer) event(name, id string, data any) {
+	line := o.line[:0]
 	if name != "" {
-		fmt.Fprintf(o.w, "event: %s\n", name)
+		line = append(append(append(line, "event: "...), name...), '\n')
 	}
 	if id != "" {
-		fmt.Fprintf(o.w, "id: %s\n", id)
+		line = append(append(append(line, "id: "...), id...), '\n')
 	}
 	body, _ := json.Marshal(data)
-	fmt.Fprintf(o.w, "data: %s\n\n", body)
+	line = append(append(append(line, "data: "...), body...), '\n', '\n')
+	o.line = line
+	_, _ = o.w.Write(line)
 	if f, ok := o.w.(http.Flusher); ok {
 		f.Flush()
 	}
--- a/internal/process/slotd/slotd_engine.go
+++ b/internal/process/slotd/slotd_engine.go
@@ -24,8 +24,9 @@
 	// pollTimeout bounds one read of the load report.
 	pollTimeout = time.Second
 	// onceGrace is how long the answer to a non-idempotent call is waited for after its deadline.
-	onceGrace = 10 * time.Second
-	readSize  = 32 << 10
+	onceGrace  = 10 * time.Second
+	reportSize = 32 << 10
+	readSize   = 8 << 10
 	// engineSilence is the time without a byte in the middle of an answer after which the connection counts as silent.
 	engineSilence = 3 * time.Second
 )
@@ -78,7 +79,7 @@
 	}
 	defer response.Body.Close()
 	var l load
-	if err := json.NewDecoder(io.LimitReader(response.Body, readSize)).Decode(&l); err != nil {
+	if err := json.NewDecoder(io.LimitReader(response.Body, reportSize)).Decode(&l); err != nil {
 		return &slot.Report{}
 	}
 	return &slot.Report{Alive: true, Running: l.Running, Prefixes: l.Prefixes}
