--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -2,6 +2,7 @@
 package entry
 
 import (
+	"cmp"
 	_ "embed"
 	"math/rand/v2"
 	"time"
@@ -28,12 +29,14 @@
 	view *membership.View
 	// picker chooses targets.
 	picker *route.Picker
-	// random is the only source of chance.
-	random *rand.Rand
 	// exchanges holds the requests in progress by ID.
 	exchanges map[string]*exchange
 	// flight counts this entry's requests in progress by target.
 	flight map[string]int
+	// choices holds the targets that this entry chooses from, by pool.
+	choices map[string][]configuration.Target
+	// recent holds when this entry's requests in progress were sent, by target and ID.
+	recent map[string]map[string]time.Time
 	// gossip chooses what other entries are told.
 	gossip *membership.Gossip
 	// failed holds the entries that did not answer last.
@@ -42,13 +45,14 @@
 	silent map[string]bool
 	// subset is the set of targets that is watched first-hand.
 	subset membership.Subset
-	// beat is the configured time between heartbeats.
-	beat time.Duration
+	// beat and silence are as configured.
+	beat, silence time.Duration
 	// last is the time of the newest event.
 	last time.Time
 	// heirs holds the successors of homes that left by the homes' incarnation.
 	heirs map[uint64]heir
 	crashes
+	retries
 	shutdown
 }
 
@@ -62,13 +66,16 @@
 	Random *rand.Rand
 	// Beat is the time between heartbeats.
 	Beat time.Duration
+	// Silence is the age of the newest heartbeat at which a target counts as lost; zero means several beats.
+	Silence time.Duration
 	// Drain is the time after a stop in which new requests are still served.
 	Drain time.Duration
 }
 
 // New returns a core that knows no configuration yet.
 func New(o Options) *Core {
-	view := membership.NewView(membership.Options{Silence: silentBeats * o.Beat, Relayed: relayedSilence})
+	silence := cmp.Or(o.Silence, silentBeats*o.Beat)
+	view := membership.NewView(membership.Options{Silence: silence, Relayed: relayedSilence})
 	return &Core{
 		name:      o.Name,
 		centre:    o.Centre,
@@ -77,13 +84,15 @@
 		failed:    map[string]bool{},
 		silent:    map[string]bool{},
 		beat:      o.Beat,
+		silence:   silence,
 		shutdown:  shutdown{drain: o.Drain},
 		picker:    route.NewPicker(route.Options{Random: o.Random}),
-		random:    o.Random,
+		retries:   newRetries(o.Random),
 		exchanges: map[string]*exchange{},
 		flight:    map[string]int{},
+		recent:    map[string]map[string]time.Time{},
 		heirs:     map[uint64]heir{},
-		crashes:   crashes{book: suspect.NewBook(), spread: silentBeats * o.Beat / 2},
+		crashes:   crashes{book: suspect.NewBook(), spread: silence / 2},
 	}
 }
 
--- a/internal/core/entry/entry_request.go
+++ b/internal/core/entry/entry_request.go
@@ -14,7 +14,6 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/request/answer"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/key"
-	"github.com/dragonflydeal/dragonflydeal/internal/request/suspect"
 )
 
 const (
@@ -42,6 +41,8 @@
 	deadline time.Time
 	// sent is set when a byte of any attempt may have reached a slot.
 	sent bool
+	// advice is the newest one from a slot, or zero.
+	advice time.Duration
 	// doubt is set when a target was given up that may have run the request.
 	doubt bool
 	// certain is set when the key's home said that the call was not run.
@@ -166,7 +167,7 @@
 		if !x.assembler.Ends(k) {
 			return c.finish(x, http.StatusBadGateway, call.OutcomeFailed, "the answer ends before what was sent of it", 0)
 		}
-		c.book.Note(now, x.request.Fingerprint, suspect.Cleared)
+		c.succeed(now, x)
 		return c.complete(x, k)
 	case call.OutcomeNotRun:
 		x.tried[x.target] = true
@@ -178,6 +179,7 @@
 		case k.Status != 0:
 			return c.finish(x, k.Status, k.Outcome, k.Reason, k.Retry)
 		}
+		x.advice = k.Retry
 		return c.attempt(now, x)
 	default:
 		return c.finish(x, statusOf(k, http.StatusBadGateway), k.Outcome, k.Reason, k.Retry)
@@ -269,7 +271,7 @@
 	if x.request.Key == "" && !x.request.Lookup {
 		outcome = call.OutcomeFailed
 	}
-	return c.finish(x, http.StatusBadGateway, outcome, reason, defaultRetry)
+	return c.finish(x, http.StatusBadGateway, outcome, reason, c.advice(x))
 }
 
 // abandon ends an exchange whose caller no longer waits.
@@ -296,7 +298,7 @@
 		if x.request.Key != "" || x.request.Lookup {
 			outcome = call.OutcomeUnknown
 		}
-		actions = append(actions, c.finish(x, http.StatusGatewayTimeout, outcome, "the deadline passed", defaultRetry)...)
+		actions = append(actions, c.finish(x, http.StatusGatewayTimeout, outcome, "the deadline passed", c.advice(x))...)
 	}
 	return actions
 }
--- a/internal/core/slot/slot.go
+++ b/internal/core/slot/slot.go
@@ -19,6 +19,9 @@
 
 var life = chart.MustParse(jobChart)
 
+// maxPrefixes is the largest number of prompt prefixes in a heartbeat.
+const maxPrefixes = 8
+
 // Core decides for one target. It is not safe for concurrent use.
 type Core struct {
 	// name identifies the target.
@@ -35,7 +38,7 @@
 	target configuration.Target
 	// alive tells whether the engine answered last.
 	alive bool
-	// prefixes are digests of prompt prefixes in the engine's cache.
+	// prefixes are digests of prompt prefixes in the engine's cache, the newest first.
 	prefixes []uint64
 	// jobs holds the known requests by ID.
 	jobs map[string]*job
@@ -51,10 +54,9 @@
 	records *record.Book
 	// swept is the time of the newest search for expired records.
 	swept time.Time
-	// queue holds the IDs of jobs that wait for the engine, in order.
-	queue []string
 	// running is the number of jobs at the engine; it is at most the target's width.
 	running int
+	admission
 	crashes
 	handover
 	supply
@@ -113,6 +115,7 @@
 		jobs:        map[string]*job{},
 		active:      map[string]*job{},
 		records:     record.NewBook(record.Options{Home: o.Name, Incarnation: incarnation, Limit: o.Limits.Records}),
+		admission:   newAdmission(o.Random),
 		crashes:     crashes{book: suspect.NewBook()},
 		supply:      supply{random: o.Random},
 		limits:      o.Limits,
@@ -183,10 +186,10 @@
 		Sequence:    c.sequence,
 		State:       c.state,
 		Running:     c.running,
-		Queued:      len(c.queue),
+		Queued:      c.queue.Len(),
 		Width:       c.width(now),
 		Revision:    c.Revision(),
-		Prefixes:    c.prefixes,
+		Prefixes:    c.prefixes[:min(len(c.prefixes), maxPrefixes)],
 		Suspects:    verdicts.Suspected,
 		Cleared:     verdicts.Cleared,
 		Convicted:   verdicts.Convicted,
@@ -218,7 +221,7 @@
 func (c *Core) Status(now time.Time) Status {
 	return Status{
 		Name: c.name, Incarnation: c.incarnation, State: c.state, Revision: c.Revision(),
-		Running: c.running, Queued: len(c.queue), Known: len(c.jobs), Power: c.powerStatus(now),
+		Running: c.running, Queued: c.queue.Len(), Known: len(c.jobs), Power: c.powerStatus(now),
 	}
 }
 
@@ -275,7 +278,7 @@
 
 // settle lets a leaving slot exit once nothing is in progress and entries know.
 func (c *Core) settle(now time.Time) []Action {
-	if c.state != membership.StateLeaving || c.running > 0 || len(c.queue) > 0 || c.viewed() || c.handing() {
+	if c.state != membership.StateLeaving || c.running > 0 || c.queue.Len() > 0 || c.viewed() || c.handing() {
 		return nil
 	}
 	if now.Sub(c.announced) < c.limits.Announce {
--- a/internal/core/slot/slot_viewer.go
+++ b/internal/core/slot/slot_viewer.go
@@ -63,7 +63,8 @@
 	case dropped:
 		k.End, k.Outcome, k.Reason = true, call.OutcomeFailed, "the request ran, but its answer is no longer kept"
 	case ended && v.sent == j.buffer.Size():
-		k.End, k.Outcome, k.Reason, k.Crashed = true, j.outcome, j.reason, j.crashed
+		k.End, k.Outcome, k.Reason = true, j.outcome, j.reason
+		k.Crashed, k.Retry = j.crashed, j.retry
 	}
 	return append(actions, Action{Chunk: &Chunk{Stream: v.stream, Chunk: k}})
 }
