--- a/internal/fleet/revision/revision.go
+++ b/internal/fleet/revision/revision.go
@@ -133,27 +133,47 @@
 	return v
 }
 
-// Take decides on an offered value, whoever offers it.
-func (b *Book) Take(data []byte) Verdict {
-	digest := Digest(data)
-	if current := b.Newest(); current != nil && current.Digest == digest {
-		return verdict("same", true, current.Position, nil)
-	}
-	parsed, err := configuration.Parse(data)
-	p := Position{Digest: digest}
-	if parsed != nil {
-		p.Revision = parsed.Revision
-	}
-	if err != nil {
-		return b.refuse("invalid", p, err)
-	}
-	switch current := b.Position(); {
-	case p.Revision < current.Revision:
-		return verdict("old", true, p, nil)
-	case p.Revision == current.Revision:
-		return b.refuse("conflict", p, ErrConflict)
+// Candidate is an offered value that was parsed and checked.
+type Candidate struct {
+	Position
+	// Data is the value as it was offered.
+	Data []byte
+	// Configuration is nil when the value could not be parsed.
+	Configuration *configuration.Configuration
+	// Err is the result of the check.
+	Err error
+}
+
+// Read parses and checks an offered value. It takes long for large values and needs no Book.
+func Read(data []byte) Candidate {
+	c := Candidate{Position: Position{Digest: Digest(data)}, Data: data}
+	c.Configuration, c.Err = configuration.Parse(data)
+	if c.Configuration != nil {
+		c.Revision = c.Configuration.Revision
 	}
-	return b.accept(&Value{Position: p, Data: data, Configuration: parsed, State: Chart.Start})
+	return c
+}
+
+// Same reports whether the newest value has a digest, so that it need not be read again.
+func (b *Book) Same(digest uint64) bool {
+	v := b.Newest()
+	return v != nil && v.Digest == digest
+}
+
+// Take decides on an offered value, whoever offers it.
+func (b *Book) Take(c Candidate) Verdict {
+	current := b.Position()
+	switch {
+	case b.Same(c.Digest):
+		return verdict("same", true, current, nil)
+	case c.Err != nil:
+		return b.refuse("invalid", c.Position, c.Err)
+	case c.Revision < current.Revision:
+		return verdict("old", true, c.Position, nil)
+	case c.Revision == current.Revision:
+		return b.refuse("conflict", c.Position, ErrConflict)
+	}
+	return b.accept(&Value{Position: c.Position, Data: c.Data, Configuration: c.Configuration, State: Chart.Start})
 }
 
 // accept replaces the newest value.
--- a/internal/fleet/revision/revision_test.go
+++ b/internal/fleet/revision/revision_test.go
@@ -66,15 +66,15 @@
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			b := NewBook()
-			is.Equal(b.Take(value(5, 2, "a")).State, StateHeld)
+			is.Equal(b.Take(Read(value(5, 2, "a"))).State, StateHeld)
 			is.Equal(b.Open().State, StateForce)
-			v := b.Take(test.data)
+			v := b.Take(Read(test.data))
 			is.Equal(v.State, test.state)
 			is.Equal(v.Signal, test.signal)
 			is.Equal(v.State == StateRefused, v.Err != nil)
 			if v.State != StateForce {
 				is.Equal(b.Position().Revision, int64(5))
-				is.Equal(b.Take(test.data).Fresh, v.State != StateRefused)
+				is.Equal(b.Take(Read(test.data)).Fresh, v.State != StateRefused)
 			}
 		})
 	}
@@ -95,7 +95,7 @@
 			if random.IntN(4) == 0 {
 				data = data[:random.IntN(len(data))]
 			}
-			b.Take(data)
+			b.Take(Read(data))
 			is.True(b.Position().Revision >= last)
 			last = b.Position().Revision
 		}
@@ -105,9 +105,9 @@
 func TestPatch(t *testing.T) {
 	is := is.New(t)
 	a, b := NewBook(), NewBook()
-	a.Take(value(1, 3000, "a"))
+	a.Take(Read(value(1, 3000, "a")))
 	base := a.Newest()
-	a.Take(value(2, 3001, "a"))
+	a.Take(Read(value(2, 3001, "a")))
 	whole, err := MakePatch(nil, a.Newest())
 	is.NoErr(err)
 	change, err := MakePatch(base, a.Newest())
@@ -116,10 +116,10 @@
 
 	_, err = change.Apply(nil)
 	is.True(errors.Is(err, ErrBase))
-	b.Take(value(1, 3000, "a"))
+	b.Take(Read(value(1, 3000, "a")))
 	data, err := change.Apply(b.Find(change.Base))
 	is.NoErr(err)
-	is.Equal(b.Take(data).State, StateHeld)
+	is.Equal(b.Take(Read(data)).State, StateHeld)
 	is.Equal(b.Position(), a.Position())
 	change.Digest++
 	_, err = change.Apply(base)
@@ -228,9 +228,9 @@
 
 func BenchmarkPatch(b *testing.B) {
 	book := NewBook()
-	book.Take(value(1, 6000, "a"))
+	book.Take(Read(value(1, 6000, "a")))
 	base := book.Newest()
-	book.Take(value(2, 6001, "a"))
+	book.Take(Read(value(2, 6001, "a")))
 	for b.Loop() {
 		p, err := MakePatch(base, book.Newest())
 		if err != nil {
--- a/internal/process/node/node_configuration.go
+++ b/internal/process/node/node_configuration.go
@@ -34,6 +34,8 @@
 	changed chan struct{}
 	// patch is the newest change that was made or received; guarded by mu.
 	patch *revision.Patch
+	// relay is a value from a peer that is passed on while it is checked here, or nil; guarded by mu.
+	relay *revision.Value
 }
 
 func newFollower(n *Node) *follower {
@@ -60,9 +62,16 @@
 
 // take offers a value to the book and reports what became of it.
 func (f *follower) take(data []byte, source string) revision.Verdict {
+	c, same := f.check(data)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	v := f.book.Take(data)
+	if same {
+		c.Position = f.book.Position()
+	}
+	v := f.book.Take(c)
+	if f.relay != nil && f.relay.Digest == c.Digest {
+		f.relay = nil
+	}
 	switch v.State {
 	case revision.StateForce:
 		f.notify()
@@ -84,6 +93,17 @@
 	return text[:min(len(text), reasonSize)]
 }
 
+// check parses a value outside of the lock, because that takes long, unless it is the newest one.
+func (f *follower) check(data []byte) (c revision.Candidate, same bool) {
+	f.mu.Lock()
+	same = f.book.Same(revision.Digest(data))
+	f.mu.Unlock()
+	if same {
+		return revision.Candidate{}, true
+	}
+	return revision.Read(data), false
+}
+
 // notify wakes the streams of other processes; mu is held.
 func (f *follower) notify() {
 	close(f.changed)
--- a/internal/process/node/node_configuration_peers.go
+++ b/internal/process/node/node_configuration_peers.go
@@ -183,10 +183,20 @@
 	if err != nil {
 		return err
 	}
-	if v := f.take(data, address.String()); v.Signal == "valid" {
-		f.mu.Lock()
-		f.patch = p
-		f.mu.Unlock()
-	}
+	f.pass(p, data)
+	f.take(data, address.String())
 	return nil
 }
+
+// pass lets a newer value of a peer travel on at once. Only values that a process accepted begin to travel,
+// and each receiver checks them itself.
+func (f *follower) pass(p *revision.Patch, data []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p.Revision <= f.book.Position().Revision {
+		return
+	}
+	f.patch = p
+	f.relay = &revision.Value{Position: p.Position, Data: data}
+	f.notify()
+}
--- a/internal/process/node/node_configuration_serve.go
+++ b/internal/process/node/node_configuration_serve.go
@@ -38,7 +38,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	age := f.book.Age(f.node.Now())
-	v := f.book.Newest()
+	v := f.newest()
 	if v == nil || v.Revision <= sent.Revision {
 		return &message.Revision{Revision: sent.Revision, Age: age.Microseconds()}, f.changed, nil
 	}
@@ -55,3 +55,12 @@
 	}
 	return message.FromPatch(f.patch, age), f.changed, nil
 }
+
+// newest returns the newest value that may be sent to peers, or nil; mu is held.
+func (f *follower) newest() *revision.Value {
+	v := f.book.Newest()
+	if f.relay != nil && f.relay.Revision > f.book.Position().Revision {
+		return f.relay
+	}
+	return v
+}
--- a/internal/proof/capacity/configuration_test.go
+++ b/internal/proof/capacity/configuration_test.go
@@ -18,7 +18,7 @@
 		b.Fatal(err)
 	}
 	book := revision.NewBook()
-	if v := book.Take(data); v.State != revision.StateHeld {
+	if v := book.Take(revision.Read(data)); v.State != revision.StateHeld {
 		b.Fatal(v.Err)
 	}
 	book.Open()
@@ -64,7 +64,7 @@
 				b.Fatal(err)
 			}
 			b.StartTimer()
-			if v := book.Take(data); v.State != revision.StateForce {
+			if v := book.Take(revision.Read(data)); v.State != revision.StateForce {
 				b.Fatal(v.Err)
 			}
 		}
