--- a/internal/core/entry/entry_crash.go
+++ b/internal/core/entry/entry_crash.go
@@ -17,7 +17,7 @@
 
 // crashes is what an entry knows of requests that may kill engines.
 type crashes struct {
-	// book holds the verdicts of all slots in reach.
+	// book holds what all slots in reach found out.
 	book *suspect.Book
 	// spread is the time in which every entry hears a slot's verdict.
 	spread time.Duration
@@ -82,17 +82,23 @@
 	return best
 }
 
-// crash acts on the death of an engine that ran the request.
+// crash acts on the death of an engine that ran the request, or an equal one.
 func (c *Core) crash(now time.Time, x *exchange, k *call.Chunk) []Action {
 	c.book.Note(now, x.request.Fingerprint, suspect.Suspected)
+	if k.Outcome == call.OutcomeNotRun && x.request.Key == "" {
+		x.tried[x.target] = true
+		return c.attempt(now, x)
+	}
+	if k.Outcome == call.OutcomeNotRun {
+		return c.closed(now, x, k)
+	}
 	if x.request.Alone {
 		c.book.Note(now, x.request.Fingerprint, suspect.Convicted)
 		return c.hold(now, x, call.OutcomeFailed, "the engine that ran this request alone died; the request is refused for an hour")
 	}
 	if x.request.Key == "" && !x.request.Lookup && x.assembler.Offset() == 0 {
 		x.tried[x.target] = true
-		x.sent = false
-		x.doubt = true
+		x.sent, x.doubt = false, true
 		return c.attempt(now, x)
 	}
 	return c.hold(now, x, k.Outcome, "the engine died while it ran this and other requests")
@@ -112,7 +118,7 @@
 func (c *Core) unhold(now time.Time) (actions []Action) {
 	for _, id := range c.heldIDs(now) {
 		x := c.exchanges[id]
-		actions = append(actions, c.finish(x, x.held.status, x.held.outcome, x.held.reason, defaultRetry)...)
+		actions = append(actions, c.finish(x, x.held.status, x.held.outcome, x.held.reason, c.advice(x))...)
 	}
 	return actions
 }
--- a/internal/core/slot/slot_power.go
+++ b/internal/core/slot/slot_power.go
@@ -70,19 +70,13 @@
 	if c.ledger.Recovering(now) {
 		l.Running = max(c.running, c.reported)
 	}
-	l.Queued = max(0, min(len(c.queue), c.target.Width-l.Running))
-	for _, id := range c.queue {
-		l.Priority = max(l.Priority, c.priority(c.jobs[id].request.Workspace))
+	l.Queued = max(0, min(c.queue.Len(), c.target.Width-l.Running))
+	if v, ok := c.queue.Peek(); ok {
+		l.Priority = max(l.Priority, v.Priority)
 	}
 	return l
 }
 
-// priority returns a workspace's priority under shortage.
-func (c *Core) priority(workspace string) int {
-	w, _ := c.configuration.Workspace(workspace)
-	return w.Priority
-}
-
 // powered reports whether there is power to start a job.
 func (c *Core) powered(now time.Time, j *job) bool {
 	if c.ledger == nil {
