--- a/internal/proof/capacity/configuration_test.go
+++ b/internal/proof/capacity/configuration_test.go
@@ -7,10 +7,16 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/revision"
+	"github.com/dragonflydeal/dragonflydeal/internal/wire/message"
 )
 
+// signs is the number of signs of life that a follower gets in a second with the default settings.
+const signs = 4
+
 // accepted returns a book that holds a configuration.
 func accepted(b *testing.B, c *configuration.Configuration) *revision.Book {
 	data, err := c.Encode()
@@ -114,6 +120,9 @@
 		b.ReportMetric(float64(watching), "calls/s")
 		b.ReportMetric(float64(deepest), "hops")
 		b.ReportMetric(float64(most), "followers")
+		b.ReportMetric(float64(len(c.Entries)+len(c.Targets)-watching)/float64(len(c.Entries)), "mean-followers")
+		sign := proto.Size(&message.Revision{Revision: 14_000, Age: time.Second.Microseconds()})
+		b.ReportMetric(float64(most*sign*signs), "signs-B/s")
 	})
 }
 
