--- a/internal/core/entry/entry_fleet.go
+++ b/internal/core/entry/entry_fleet.go
@@ -114,6 +114,7 @@
 			continue
 		}
 		c.silent[t.Name] = true
+		c.view.Lose(t.Name)
 		c.gossip.Changed(t.Name)
 		actions = append(actions, c.auditTarget(t.Name, m.State, m.Incarnation))
 	}
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -154,6 +154,13 @@
 	return true
 }
 
+// Lose notes that a watched target has gone silent; only a newer heartbeat outdates that.
+func (v *View) Lose(target string) {
+	if m := v.members[target]; m != nil {
+		m.State = StateLost
+	}
+}
+
 // Member returns the knowledge of a target, with its state as of now.
 func (v *View) Member(now time.Time, target string) (Member, bool) {
 	m, ok := v.members[target]
--- a/internal/fleet/membership/membership_digest_test.go
+++ b/internal/fleet/membership/membership_digest_test.go
@@ -175,6 +175,24 @@
 	is.True(c.agree(serving))
 }
 
+// TestLostStays checks that an entry which hands a silent target on to other watchers does not take it for serving again.
+func TestLostStays(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	v := NewView(Options{Silence: time.Second, Relayed: time.Hour})
+	h := Heartbeat{Target: "a", Incarnation: 1, Sequence: 1, State: StateServing}
+	v.Accept(now, h)
+	now = now.Add(2 * time.Second)
+	v.Lose("a")
+	v.Watch(nobody, time.Second)
+	m, _ := v.Member(now, "a")
+	is.Equal(m.State, StateLost)
+	h.Sequence++
+	v.Accept(now, h)
+	m, _ = v.Member(now, "a")
+	is.Equal(m.State, StateServing)
+}
+
 // TestHint checks that a hint travels with its age and is dropped when nobody repeats it.
 func TestHint(t *testing.T) {
 	is := is.New(t)
