--- /dev/null
+++ b/internal/group/balance/workload_test.go
@@ -0,0 +1,220 @@
+package balance
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// stepsPerReport is a report a second at 4.5 ms a step.
+	stepsPerReport = 222
+	reportLag      = 2
+	reportNoise    = 0.1
+	workReports    = 600
+	// settleReports are left out of the steady state.
+	settleReports = 120
+	// expertBytes is the size of one expert's weights of a layer.
+	expertBytes = 44 << 20
+	tokenScale  = 1e6
+	switchLoss  = 4
+)
+
+// size is a group's size.
+type size struct {
+	name                  string
+	ranks, experts, width int
+}
+
+var sizes = []size{{"60", 60, 60, 3}, {"128x128", 128, 128, 3}}
+
+// workload gives the true share of each expert and each rank's slowness at a report.
+type workload struct {
+	name  string
+	loads func(random *rand.Rand, base []float64, experts int) func(report int) []float64
+	slow  bool
+}
+
+// basic are shares that differ moderately between experts.
+func basic(random *rand.Rand, experts int) []float64 {
+	loads := make([]float64, experts)
+	for e := range loads {
+		loads[e] = math.Exp(0.6 * random.NormFloat64())
+	}
+	return loads
+}
+
+// blend fades some experts from one popularity to another.
+func blend(base, next []float64, share float64) []float64 {
+	out := make([]float64, len(base))
+	for e := range out {
+		out[e] = base[e] + share*(next[e]-base[e])
+	}
+	return out
+}
+
+var workloads = []workload{
+	{name: "noise", loads: func(_ *rand.Rand, base []float64, _ int) func(int) []float64 {
+		return func(int) []float64 { return base }
+	}},
+	{name: "school", loads: func(r *rand.Rand, base []float64, experts int) func(int) []float64 {
+		next := season(r, base, experts/4, 4)
+		return func(n int) []float64 { return blend(base, next, 0.5-0.5*math.Cos(2*math.Pi*float64(n)/workReports)) }
+	}},
+	{name: "notice", loads: func(r *rand.Rand, base []float64, experts int) func(int) []float64 {
+		next := season(r, base, experts/10, 6)
+		return func(n int) []float64 {
+			if n < 100 {
+				return base
+			}
+			return blend(base, next, math.Min(1, float64(n-100)/20)*math.Exp(-float64(max(0, n-120))/400))
+		}
+	}},
+	{name: "shift", loads: func(r *rand.Rand, base []float64, experts int) func(int) []float64 {
+		next := basic(r, experts)
+		return func(n int) []float64 {
+			if n < 200 {
+				return base
+			}
+			return next
+		}
+	}},
+	{name: "drift", loads: func(r *rand.Rand, base []float64, experts int) func(int) []float64 {
+		next := basic(r, experts)
+		return func(n int) []float64 { return blend(base, next, float64(n)/workReports) }
+	}},
+	{name: "hot", loads: func(r *rand.Rand, base []float64, experts int) func(int) []float64 {
+		next := season(r, base, 1, 20)
+		return func(n int) []float64 {
+			if n < 100 {
+				return base
+			}
+			return next
+		}
+	}},
+	{name: "straggler", slow: true, loads: func(_ *rand.Rand, base []float64, _ int) func(int) []float64 {
+		return func(int) []float64 { return base }
+	}},
+}
+
+// season makes some experts several times as popular.
+func season(r *rand.Rand, base []float64, count int, factor float64) []float64 {
+	next := slices.Clone(base)
+	for _, e := range r.Perm(len(base))[:max(1, count)] {
+		next[e] *= factor
+	}
+	return next
+}
+
+// outcome is what one run cost.
+type outcome struct {
+	skews, gaps []float64
+	moves       int
+	switches    int
+}
+
+// policy decides on the next map, or returns nil to keep it.
+type policy interface {
+	observe(current *Placement, tokens []uint64, times []float64)
+	next(now time.Time, current *Placement) *Placement
+}
+
+// play runs a policy on a workload.
+func play(w workload, z size, seed uint64, p policy) (o outcome) {
+	random := rand.New(rand.NewPCG(seed, 5))
+	base := basic(random, z.experts)
+	at := w.loads(random, base, z.experts)
+	slowness := make([]float64, z.ranks)
+	for r := range slowness {
+		slowness[r] = 1
+	}
+	if w.slow {
+		slowness[random.IntN(z.ranks)] = 1.4
+	}
+	current := Pack(base, z.ranks, z.width)
+	for n := range workReports {
+		loads := at(n)
+		times := current.Times(loads, slowness)
+		skew := Skew(times)
+		o.skews = append(o.skews, skew)
+		if n >= settleReports {
+			o.gaps = append(o.gaps, skew/Bound(loads, z.ranks, z.width)-1)
+		}
+		p.observe(current, report(random, at(max(0, n-reportLag))), noisy(random, times))
+		if next := p.next(time.Unix(int64(n), 0), current); next != nil {
+			if moves := Moves(current, next); moves > 0 {
+				o.moves += moves
+				o.switches++
+				current = next
+			}
+		}
+	}
+	return o
+}
+
+// report returns noisy token counts.
+func report(random *rand.Rand, loads []float64) []uint64 {
+	tokens := make([]uint64, len(loads))
+	for e, v := range loads {
+		tokens[e] = uint64(tokenScale * v * math.Max(0, 1+reportNoise*random.NormFloat64()))
+	}
+	return tokens
+}
+
+func noisy(random *rand.Rand, times []float64) []float64 {
+	out := make([]float64, len(times))
+	for r, t := range times {
+		out[r] = t * (1 + 0.05*random.NormFloat64())
+	}
+	return out
+}
+
+// never keeps the first map.
+type never struct{}
+
+func (never) observe(*Placement, []uint64, []float64) {}
+
+func (never) next(time.Time, *Placement) *Placement { return nil }
+
+// repack packs anew from the newest report at each interval.
+type repack struct {
+	size
+	interval int
+	reports  int
+	newest   []float64
+}
+
+func (p *repack) observe(_ *Placement, tokens []uint64, _ []float64) {
+	p.reports++
+	p.newest = p.newest[:0]
+	for _, v := range tokens {
+		p.newest = append(p.newest, float64(v))
+	}
+}
+
+func (p *repack) next(time.Time, *Placement) *Placement {
+	if p.reports%p.interval != 0 {
+		return nil
+	}
+	return Pack(p.newest, p.ranks, p.width)
+}
+
+// planned is the planner under test.
+type planned struct{ *Planner }
+
+func (p planned) observe(current *Placement, tokens []uint64, times []float64) {
+	p.Observe(tokens)
+	p.ObserveTimes(current, times)
+}
+
+func (p planned) next(now time.Time, current *Placement) *Placement {
+	return p.Decide(now, current).Placement
+}
+
+func newPlanned(z size, price float64) planned {
+	return planned{New(Options{
+		Experts: z.experts, Ranks: z.ranks, Width: z.width, Price: price,
+		Horizon: 60 * stepsPerReport, Loss: switchLoss, Floor: 10, Pause: 5 * time.Second,
+	})}
+}
