Rebalance groups from the slot of the lead rank, proved with real processes

Cause: nothing connected the planner, the map switch and the engines. Change: the slot's core reports its engine's expert loads to the lowest rank that answers; that one plans and begins the switch; audit lines name the balance, ballot, step, map and moved experts. A stand-in group steps in lock-step and records the map that each rank used in each step. Found on the way: a search that ran out of changes left the number of moved experts at zero; a shift during the first reports was taken for noise and stopped all later moves ("still not so after 20s: a new map is in use").

--- a/internal/core/slot/event.go
+++ b/internal/core/slot/event.go
@@ -26,6 +26,10 @@
 	Report *Report
 	// Message is from another slot.
 	Message *Message
+	// Group is the engine's report of its part in a group.
+	Group *GroupReport
+	// Done is the end of an order to the engine.
+	Done *mapswitch.Done
 	// Configuration is an accepted revision; its number never falls.
 	Configuration *configuration.Configuration
 	// Stop tells that the process was asked to stop.
@@ -159,6 +163,8 @@
 	Chunk *Chunk
 	// Deliver sends a message to another slot.
 	Deliver *Deliver
+	// Order gives an order of the map switch to the engine.
+	Order *mapswitch.Order
 	// Audit records a change.
 	Audit *Audit
 	// Exit tells that the process may stop.
--- a/internal/core/slot/slot.go
+++ b/internal/core/slot/slot.go
@@ -59,6 +59,8 @@
 	supply
 	// limits bound what is kept.
 	limits Limits
+	// group is nil unless the target is a rank of a group.
+	group *group
 	// announced is the time from which the stop was announced to the entries.
 	announced time.Time
 }
@@ -77,12 +79,15 @@
 	Keep time.Duration
 	// Orphan is how long an idempotent request runs on with no stream attached.
 	Orphan time.Duration
+	// Patience is the longest time from the start of a map switch to its last arm.
+	Patience time.Duration
 	// Announce is how long a stopping slot goes on answering, so that entries learn of it.
 	Announce time.Duration
 }
 
 // DefaultLimits are the limits of a slot in operation.
 var DefaultLimits = Limits{
+	Patience: 20 * time.Second,
 	Answer:   8 << 20,
 	Total:    32 << 20,
 	Records:  1 << 15,
@@ -135,6 +140,10 @@
 		return c.report(now, e.Report)
 	case e.Message != nil:
 		return c.hear(now, e.Message)
+	case e.Group != nil:
+		return c.reportGroup(now, e.Group)
+	case e.Done != nil:
+		return c.doneGroup(now, e.Done)
 	case e.Configuration != nil:
 		return c.configure(now, e.Configuration)
 	case e.Stop != nil:
@@ -236,6 +245,7 @@
 		c.target = t
 	}
 	c.plan(now)
+	c.join(now)
 	return append(c.open(), c.admit(now)...)
 }
 
@@ -282,5 +292,6 @@
 	actions := c.expire(now)
 	actions = append(actions, c.admit(now)...)
 	actions = append(actions, c.lend(now)...)
+	actions = append(actions, c.tickGroup(now)...)
 	return append(actions, c.settle(now)...)
 }
--- a/internal/core/slot/slot_admission.go
+++ b/internal/core/slot/slot_admission.go
@@ -31,7 +31,7 @@
 // admit starts waiting requests while the engine has room.
 func (c *Core) admit(now time.Time) []Action {
 	var actions []Action
-	for len(c.queue) > 0 && c.running < c.target.Width && c.alive {
+	for len(c.queue) > 0 && c.running < c.target.Width && c.alive && c.admits() {
 		id := c.queue[0]
 		j := c.jobs[id]
 		if !c.fits(j) || !c.powered(now, j) {
--- a/internal/core/slot/slot_power.go
+++ b/internal/core/slot/slot_power.go
@@ -109,6 +109,9 @@
 
 // hear takes in a message from another slot.
 func (c *Core) hear(now time.Time, m *Message) []Action {
+	if m.Switch != nil {
+		return c.hearGroup(now, m)
+	}
 	if m.Loan == nil || c.ledger == nil {
 		return nil
 	}
--- a/internal/group/balance/balance.go
+++ b/internal/group/balance/balance.go
@@ -114,7 +114,7 @@
 	for cost < limit {
 		t, ok := s.best()
 		if !ok {
-			return
+			break
 		}
 		s.apply(t)
 		cost += t.cost()
--- a/internal/group/balance/estimate.go
+++ b/internal/group/balance/estimate.go
@@ -19,6 +19,8 @@
 	loads []float64
 	// noise is the relative deviation of one expert's report from its estimate.
 	noise float64
+	// learned is the number of reports that went into noise.
+	learned int
 	// count is the number of reports of each estimate since it last began.
 	count []int
 	// row counts surprising reports in a row; the sign is their side.
@@ -48,8 +50,7 @@
 	deviation, weights := 0.0, 0.0
 	for e, v := range tokens {
 		share := float64(v) / sum
-		if s.count[e] > 1 {
-			difference := share - s.loads[e]
+		if difference := share - s.loads[e]; s.count[e] >= warm && !s.shifting(e, difference) {
 			deviation += math.Min(difference*difference, s.limit(e)*s.limit(e))
 			weights += s.loads[e] * s.loads[e]
 		}
@@ -60,6 +61,11 @@
 	}
 }
 
+// shifting reports whether a report is surprising and does not contradict the one before.
+func (s *estimate) shifting(e int, difference float64) bool {
+	return math.Abs(difference) > s.limit(e) && float64(s.row[e])*difference >= 0
+}
+
 // limit bounds what one report adds to the noise, so that a shift is not taken for noise.
 func (s *estimate) limit(e int) float64 {
 	if s.noise == 0 {
@@ -69,11 +75,8 @@
 }
 
 func (s *estimate) learn(noise float64) {
-	if s.noise == 0 {
-		s.noise = noise
-		return
-	}
-	s.noise += spread * (noise - s.noise)
+	s.learned++
+	s.noise += math.Max(spread, 1/float64(s.learned)) * (noise - s.noise)
 }
 
 // follow moves one estimate towards a report, and to the newest reports at once after a shift.
--- a/internal/process/slotd/slotd.go
+++ b/internal/process/slotd/slotd.go
@@ -93,6 +93,7 @@
 	group.Go(func() error { p.Follow(work, p.accept); return nil })
 	group.Go(func() error { p.tick(work); return nil })
 	group.Go(func() error { p.poll(work); return nil })
+	group.Go(func() error { p.watchGroup(work); return nil })
 	group.Go(func() error {
 		defer cancel()
 		return p.await(ctx, work)
@@ -162,6 +163,8 @@
 		}
 	case a.Deliver != nil:
 		p.deliver(a.Deliver)
+	case a.Order != nil:
+		p.order(a.Order)
 	case a.Audit != nil:
 		p.Trail.Record(p.Now(), a.Audit.Kind, a.Audit.Attributes...)
 	case a.Exit != nil && !p.exited:
--- /dev/null
+++ b/internal/trial/group/group_orders.go
@@ -0,0 +1,188 @@
+package group
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/group/balance"
+	"github.com/dragonflydeal/dragonflydeal/internal/group/mapswitch"
+)
+
+// Report is what an engine tells of its rank.
+type Report struct {
+	// Engine is the state of the expert maps.
+	Engine mapswitch.Engine `json:"engine"`
+	// Plan is the encoded map in use.
+	Plan []byte `json:"plan"`
+	// Loads counts the tokens that each expert got, as of some time ago.
+	Loads []uint64 `json:"loads"`
+	// Refusal is why an order was refused, or empty.
+	Refusal string `json:"refusal,omitempty"`
+}
+
+// Handler returns the HTTP interface of one rank; other requests go to the engine.
+func (g *Group) Handler(number int, engine http.Handler) http.Handler {
+	r := g.ranks[number]
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /group", func(w http.ResponseWriter, _ *http.Request) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.reply(w, r, "")
+	})
+	mux.HandleFunc("POST /group", func(w http.ResponseWriter, q *http.Request) {
+		var o mapswitch.Order
+		if err := json.NewDecoder(q.Body).Decode(&o); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		refusal := g.obey(r, &o)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.reply(w, r, refusal)
+	})
+	mux.Handle("GET /", engine)
+	mux.HandleFunc("POST /", func(w http.ResponseWriter, q *http.Request) {
+		g.count(r, 1)
+		defer g.count(r, -1)
+		engine.ServeHTTP(w, q)
+	})
+	return mux
+}
+
+func (g *Group) count(r *rank, change int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r.running += change
+}
+
+// reply writes the state of a rank; mu is held.
+func (g *Group) reply(w http.ResponseWriter, r *rank, refusal string) {
+	v := Report{Engine: r.Engine, Loads: g.reported(r), Refusal: refusal}
+	v.Engine.Idle = r.running == 0
+	v.Plan, _ = g.maps[r.Map].Encode()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// reported returns the token counts of one lag ago; mu is held.
+func (g *Group) reported(r *rank) []uint64 {
+	now := time.Now()
+	tokens := make([]uint64, len(r.tokens))
+	for e, v := range r.tokens {
+		tokens[e] = uint64(v)
+	}
+	r.reports = append(r.reports, report{at: now, tokens: tokens})
+	for len(r.reports) > 1 && now.Sub(r.reports[1].at) >= g.options.Lag {
+		r.reports = r.reports[1:]
+	}
+	return r.reports[0].tokens
+}
+
+// obey carries out an order and returns why it is refused, or nothing.
+func (g *Group) obey(r *rank, o *mapswitch.Order) string {
+	if o.Kind == mapswitch.OrderLoad {
+		return g.load(r, o)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if o.Kind == mapswitch.OrderClaim {
+		if g.options.Fenced {
+			r.Fence++
+		}
+		return ""
+	}
+	if g.stale(r, o) {
+		return "old fencing number"
+	}
+	switch o.Kind {
+	case mapswitch.OrderArm:
+		return g.arm(r, o)
+	case mapswitch.OrderCommit, mapswitch.OrderAbort:
+		return g.decide(r, o)
+	}
+	return "unknown order"
+}
+
+func (g *Group) stale(r *rank, o *mapswitch.Order) bool {
+	return g.options.Fenced && o.Fence != r.Fence
+}
+
+func (g *Group) arm(r *rank, o *mapswitch.Order) string {
+	switch {
+	case r.Armed != nil:
+		return "another ballot is armed"
+	case r.Staged != o.Map && r.Map != o.Map:
+		return "the map is not loaded"
+	case g.options.Hold && r.Step >= o.Step:
+		return "the step has passed"
+	case !g.options.Hold && r.running > 0:
+		return "requests are running"
+	}
+	r.Armed = &mapswitch.Armed{Ballot: o.Ballot, Step: o.Step, Map: o.Map}
+	return ""
+}
+
+func (g *Group) decide(r *rank, o *mapswitch.Order) string {
+	if r.Armed == nil || r.Armed.Ballot != o.Ballot || r.Armed.Committed {
+		return "the ballot is not armed"
+	}
+	switch {
+	case o.Kind == mapswitch.OrderAbort:
+		r.Armed = nil
+	case g.options.Hold:
+		r.Decided = o.Ballot
+		r.Armed = &mapswitch.Armed{Ballot: o.Ballot, Step: r.Armed.Step, Map: r.Armed.Map, Committed: true}
+	default:
+		r.Decided, r.Map, r.Staged, r.Armed = o.Ballot, r.Armed.Map, 0, nil
+	}
+	return ""
+}
+
+// load loads the missing experts of a map; the old map stays in use meanwhile.
+func (g *Group) load(r *rank, o *mapswitch.Order) string {
+	p, err := balance.Decode(o.Plan)
+	if err != nil {
+		return err.Error()
+	}
+	g.mu.Lock()
+	if g.refuse > 0 {
+		g.refuse--
+		g.mu.Unlock()
+		return "the load is refused"
+	}
+	half := g.fail > 0
+	if half {
+		g.fail--
+	}
+	missing := g.missing(r, p)
+	g.mu.Unlock()
+	wait := time.Duration(missing) * g.options.Load
+	if half {
+		time.Sleep(wait / 2)
+		return "the load failed half way"
+	}
+	time.Sleep(wait)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.stale(r, o) {
+		return "old fencing number"
+	}
+	g.maps[o.Map] = p
+	r.Staged = o.Map
+	g.loaded += missing
+	return ""
+}
+
+// missing returns the number of experts that a rank has to load for a map.
+func (g *Group) missing(r *rank, p *balance.Placement) (n int) {
+	number := slices.Index(g.ranks, r)
+	held := g.maps[r.Map].Ranks[number]
+	for _, e := range p.Ranks[number] {
+		if !slices.Contains(held, e) {
+			n++
+		}
+	}
+	return n
+}
