--- a/internal/core/slot/event.go
+++ b/internal/core/slot/event.go
@@ -28,6 +28,10 @@
 	Message *Message
 	// Delivered is the answer of another slot to a hand-over.
 	Delivered *Delivered
+	// Group is the engine's report of its part in a group.
+	Group *GroupReport
+	// Done is the end of an order to the engine.
+	Done *mapswitch.Done
 	// Configuration is an accepted revision; its number never falls.
 	Configuration *configuration.Configuration
 	// Stop tells that the process was asked to stop.
@@ -177,6 +181,8 @@
 	Deliver *Deliver
 	// Receipt answers the message that is being handled.
 	Receipt *Receipt
+	// Order gives an order of the map switch to the engine.
+	Order *mapswitch.Order
 	// Audit records a change.
 	Audit *Audit
 	// Exit tells that the process may stop.
