--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -28,7 +28,7 @@
 	headerSize    = 16 << 10
 	// peerTimeout closes a connection of another process that sends no call for so long.
 	peerTimeout = 5 * time.Second
-	// closeTimeout bounds the flushing of written answers at the end of a process.
+	// closeTimeout bounds the time in which a stopped server ends its connections.
 	closeTimeout = time.Second
 )
 
@@ -121,7 +121,7 @@
 	return err
 }
 
-// shutdown lets written answers reach their callers, then closes what is left.
+// shutdown lets the last bytes of finished answers leave, then closes what is left.
 func shutdown(server *http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
--- a/internal/process/slotd/slotd.go
+++ b/internal/process/slotd/slotd.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/dragonflydeal/dragonflydeal/internal/base/chart"
 	"github.com/dragonflydeal/dragonflydeal/internal/core/slot"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
 	"github.com/dragonflydeal/dragonflydeal/internal/process/node"
@@ -24,8 +25,8 @@
 	*node.Node
 	// client reaches the engine.
 	client *http.Client
-	// once reaches the engine for non-idempotent calls, each over a connection of its own.
-	once *http.Client
+	// fresh reaches the engine for runs, each over a connection of its own, because an idle one may have gone silent.
+	fresh *http.Client
 	// exit is closed when the core has nothing in progress after a stop.
 	exit chan struct{}
 	// counts are the metrics.
@@ -38,6 +39,10 @@
 	streams map[uint64]*stream
 	// runs holds the cancel functions of running requests; guarded by mu.
 	runs map[string]context.CancelFunc
+	// moved is closed at the next change of state, or nil when nobody waits; guarded by mu.
+	moved chan struct{}
+	// state is the target's state as last announced; guarded by mu.
+	state chart.State
 	// last is the number of the newest stream; guarded by mu.
 	last uint64
 	// exited is set when exit was closed; guarded by mu.
@@ -62,7 +67,7 @@
 		Node:    n,
 		counts:  newCounts(n.Metrics),
 		client:  newClient(true),
-		once:    newClient(false),
+		fresh:   newClient(false),
 		exit:    make(chan struct{}),
 		core:    slot.New(slot.Options{Name: o.Settings.Name, Random: o.Random, Limits: limits}),
 		streams: map[uint64]*stream{},
@@ -100,25 +105,6 @@
 	return group.Wait()
 }
 
-// await stops the core when asked to and returns when it has finished or the stop limit is over.
-func (p *Process) await(stop, work context.Context) error {
-	select {
-	case <-work.Done():
-		return nil
-	case <-stop.Done():
-	}
-	p.Log.Info("stop", "role", "slot")
-	p.handle(slot.Event{Stop: &slot.Stop{}})
-	timer := time.NewTimer(time.Duration(p.Settings.Stop))
-	defer timer.Stop()
-	select {
-	case <-p.exit:
-	case <-timer.C:
-		p.Log.Warn("stop limit", "cut", p.status().Running)
-	}
-	return nil
-}
-
 func (p *Process) probes() node.Probes {
 	return node.Probes{
 		Ready: func() bool {
@@ -133,7 +119,7 @@
 func (p *Process) status() slot.Status {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.core.Status()
+	return p.core.Status(p.Now())
 }
 
 func (p *Process) accept(c *configuration.Configuration) {
@@ -160,6 +146,7 @@
 	for _, a := range p.core.Handle(p.Now(), e) {
 		p.act(a)
 	}
+	p.announce()
 }
 
 // act does one action; mu is held, so it must not block.
--- a/internal/process/slotd/slotd_engine.go
+++ b/internal/process/slotd/slotd_engine.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/core/slot"
-	"github.com/dragonflydeal/dragonflydeal/internal/fleet/membership"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
 )
 
@@ -24,16 +23,15 @@
 	pollInterval = 250 * time.Millisecond
 	// pollTimeout bounds one read of the load report.
 	pollTimeout = time.Second
-	readSize    = 32 << 10
+	// onceGrace is how long the answer to a non-idempotent call is waited for after its deadline.
+	onceGrace = 10 * time.Second
+	readSize  = 32 << 10
+	// engineSilence is the time without a byte in the middle of an answer after which the connection counts as silent.
+	engineSilence = 3 * time.Second
 )
 
-// beat returns the next heartbeat.
-func (p *Process) beat() *membership.Heartbeat {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	h := p.core.Beat(p.Now())
-	return &h
-}
+// errEngineSilent reports an engine that stopped in the middle of an answer.
+var errEngineSilent = errors.New("the engine went silent in the middle of the answer")
 
 // poll reads the engine's load reports until the context ends.
 func (p *Process) poll(ctx context.Context) {
@@ -41,6 +39,11 @@
 	defer ticker.Stop()
 	for {
 		report := p.read(ctx)
+		if !report.Alive {
+			// The connection may have gone silent while new ones work.
+			p.client.CloseIdleConnections()
+			report = p.read(ctx)
+		}
 		if ctx.Err() != nil {
 			return
 		}
@@ -107,7 +110,9 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	ctx, giveUp := context.WithCancelCause(ctx)
+	defer giveUp(nil)
+	ctx, cancel := context.WithDeadline(ctx, limitOf(r))
 	defer cancel()
 	request, err := p.request(ctx, r)
 	if err != nil {
@@ -116,12 +121,25 @@
 	if !r.Due(p.Now()) {
 		return &slot.Result{ID: r.ID, Outcome: call.OutcomeNotRun, Reason: "the deadline passed"}
 	}
-	response, err := p.clientOf(r).Do(request)
+	response, err := p.fresh.Do(request)
 	if err != nil {
 		return &slot.Result{ID: r.ID, Outcome: outcomeOf(connected.Load()), Reason: err.Error()}
 	}
 	defer response.Body.Close()
-	return p.copy(r, response)
+	result := p.copy(r, response, giveUp)
+	if cause := context.Cause(ctx); errors.Is(cause, errEngineSilent) {
+		result.Reason = cause.Error()
+	}
+	return result
+}
+
+// limitOf returns the time at which a run is given up. The answer to a non-idempotent call
+// is read beyond its caller's deadline, because the caller will ask for it again.
+func limitOf(r *slot.Run) time.Time {
+	if r.Request.Key != "" {
+		return r.Deadline.Add(onceGrace)
+	}
+	return r.Deadline
 }
 
 // body hides the type of a reader, so that no part of the HTTP client can rewind and repeat it.
@@ -137,6 +155,7 @@
 	}
 	request.ContentLength = int64(len(r.Request.Body))
 	request.Header.Set("Request-Id", r.Request.ID)
+	request.Header.Set("Request-Timeout", r.Deadline.Sub(p.Now()).String())
 	request.Header.Set("Workspace", r.Request.Workspace)
 	if r.Request.Key != "" {
 		request.Header.Set("Idempotency-Key", r.Request.Key)
@@ -144,14 +163,6 @@
 	return request, nil
 }
 
-// clientOf returns the client for a run: one whose connections are new for each non-idempotent call.
-func (p *Process) clientOf(r *slot.Run) *http.Client {
-	if r.Request.Key != "" {
-		return p.once
-	}
-	return p.client
-}
-
 // newClient returns a client of the engine that follows no redirect.
 func newClient(keep bool) *http.Client {
 	return &http.Client{
@@ -176,8 +187,20 @@
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
 
-// copy passes the answer's bytes to the core as they come.
-func (p *Process) copy(r *slot.Run, response *http.Response) *slot.Result {
+// newSilence returns a timer that gives up on a silent connection. It starts to run at the first byte, because the
+// time to it depends on the engine's work; non-idempotent calls have until their deadline.
+func newSilence(r *slot.Run, giveUp context.CancelCauseFunc) *time.Timer {
+	silence := time.AfterFunc(engineSilence, func() {
+		if r.Request.Key == "" {
+			giveUp(errEngineSilent)
+		}
+	})
+	silence.Stop()
+	return silence
+}
+
+// copy passes the answer's bytes to the core as they come; an engine that goes silent between them is given up.
+func (p *Process) copy(r *slot.Run, response *http.Response, giveUp context.CancelCauseFunc) *slot.Result {
 	media := response.Header.Get("Content-Type")
 	if !framed(response) {
 		return &slot.Result{
@@ -187,8 +210,11 @@
 	}
 	// The core copies what it keeps, so that one read buffer serves the whole answer.
 	data := make([]byte, readSize)
+	silence := newSilence(r, giveUp)
+	defer silence.Stop()
 	for {
 		n, err := response.Body.Read(data)
+		silence.Reset(engineSilence)
 		if n > 0 {
 			p.handle(slot.Event{Output: &slot.Output{ID: r.ID, Data: data[:n], Status: response.StatusCode, Media: media}})
 		}
--- a/internal/wire/message/convert_peer.go
+++ b/internal/wire/message/convert_peer.go
@@ -12,6 +12,7 @@
 	return &Switch{
 		Group: m.Group, Kind: string(m.Kind), Attempt: m.Attempt, Lead: uint32(m.Lead), Rank: uint32(m.Rank),
 		Step: m.Step, Map: m.Map, Plan: m.Plan, Reason: m.Reason,
+		Token: m.Token, Sender: m.Sender, Receiver: m.Receiver, Loads: m.Loads, Latency: m.Latency,
 	}
 }
 
@@ -20,6 +21,7 @@
 	return &mapswitch.Message{
 		Group: m.Group, Kind: mapswitch.Kind(m.Kind), Attempt: m.Attempt, Lead: int(m.Lead), Rank: int(m.Rank),
 		Step: m.Step, Map: m.Map, Plan: m.Plan, Reason: m.Reason,
+		Token: m.Token, Sender: m.Sender, Receiver: m.Receiver, Loads: m.Loads, Latency: m.Latency,
 	}
 }
 
@@ -27,6 +29,7 @@
 func FromLoan(m *power.Message) *Loan {
 	return &Loan{
 		Kind: string(m.Kind), Id: m.ID, Watts: m.Watts, Term: m.Term.Microseconds(), Priority: uint32(max(m.Priority, 0)),
+		Sequence: m.Sequence, Work: m.Work.Microseconds(),
 	}
 }
 
@@ -35,5 +38,6 @@
 	return &power.Message{
 		Kind: power.Kind(m.Kind), ID: m.Id, Watts: m.Watts,
 		Term: time.Duration(m.Term) * time.Microsecond, Priority: int(m.Priority),
+		Sequence: m.Sequence, Work: time.Duration(m.Work) * time.Microsecond,
 	}
 }
