--- a/main_test.go
+++ b/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"path/filepath"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -11,5 +12,16 @@
 }
 
 func TestScripts(t *testing.T) {
-	testscript.Run(t, testscript.Params{Dir: "testdata", RequireExplicitExec: true})
+	examples, err := filepath.Abs("examples")
+	if err != nil {
+		t.Fatal(err)
+	}
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata",
+		RequireExplicitExec: true,
+		Setup: func(e *testscript.Env) error {
+			e.Setenv("EXAMPLES", examples)
+			return nil
+		},
+	})
 }
