--- a/internal/fleet/membership/membership_digest.go
+++ b/internal/fleet/membership/membership_digest.go
@@ -105,18 +105,37 @@
 	delete(g.hot, target)
 }
 
-// choose returns the names of the next digest.
+// topic is a target that may go into a digest.
+type topic struct {
+	name string
+	hot  int
+	sent time.Time
+}
+
+// compare orders changes first, then what was not told for longest.
+func (t topic) compare(other topic) int {
+	return cmp.Or(cmp.Compare(other.hot, t.hot), t.sent.Compare(other.sent), cmp.Compare(t.name, other.name))
+}
+
+// choose returns the names of the next digest. It keeps the first few of all instead of sorting them.
 func (g *Gossip) choose(now time.Time) []string {
-	var names []string
+	var first []topic
 	for name, m := range g.view.members {
-		if g.hot[name] > 0 || now.Sub(m.Made) < relayLife && m.Made.After(g.sent[name]) {
-			names = append(names, name)
+		t := topic{name: name, hot: g.hot[name], sent: g.sent[name]}
+		if t.hot == 0 && (now.Sub(m.Made) >= relayLife || !m.Made.After(t.sent)) {
+			continue
+		}
+		if len(first) == digestItems && t.compare(first[digestItems-1]) > 0 {
+			continue
 		}
+		i, _ := slices.BinarySearchFunc(first, t, topic.compare)
+		first = slices.Insert(first, i, t)[:min(len(first)+1, digestItems)]
+	}
+	names := make([]string, len(first))
+	for i, t := range first {
+		names[i] = t.name
 	}
-	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(g.hot[b], g.hot[a]), g.sent[a].Compare(g.sent[b]), cmp.Compare(a, b))
-	})
-	return names[:min(len(names), digestItems)]
+	return names
 }
 
 // Hint takes in what the list of instances said at a time that is age ago.
--- a/internal/fleet/revision/revision_reader.go
+++ b/internal/fleet/revision/revision_reader.go
@@ -9,7 +9,7 @@
 
 const (
 	// patience is the age of the last contact with the service at which a process reads it itself.
-	patience = 2 * time.Second
+	patience = 3 * time.Second
 	// firstPause and lastPause bound the time between reads that bring no news.
 	firstPause = 250 * time.Millisecond
 	lastPause  = 2 * time.Second
@@ -25,6 +25,8 @@
 	pause time.Duration
 	// next is the earliest time of the next read.
 	next time.Time
+	// stale is set while the last contact with the service is too old.
+	stale bool
 }
 
 // NewReader returns a Reader that may read at once.
@@ -33,9 +35,22 @@
 }
 
 // Due reports whether to read now. A process that is not a watcher reads only without
-// a fresh contact with the service, and no oftener than its part of the shared rate.
-func (r *Reader) Due(now time.Time, watch bool, age time.Duration) bool {
-	return !now.Before(r.next) && (watch || age > patience)
+// a fresh contact with the service, and no oftener than its part of the shared rate;
+// because many lose the contact together, each begins at a time of its own.
+func (r *Reader) Due(now time.Time, watch bool, age time.Duration, c *configuration.Configuration) bool {
+	before := r.stale
+	r.stale = !watch && age > patience
+	if r.stale && !before {
+		r.next = later(r.next, now.Add(time.Duration(r.random.Float64()*float64(share(c)))))
+	}
+	return (watch || r.stale) && !now.Before(r.next)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // Answered notes that the service answered: news, or a watch that ended without any.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -28,7 +28,7 @@
 	headerSize    = 16 << 10
 	// peerTimeout closes a connection of another process that sends no call for so long.
 	peerTimeout = 5 * time.Second
-	// closeTimeout bounds the time in which a stopped server ends its connections.
+	// closeTimeout bounds the flushing of written answers at the end of a process.
 	closeTimeout = time.Second
 )
 
