Keep workspaces to their rates with shares that follow demand

Change: a workspace has an owner among the entries (rendezvous); the entries that use it tell their demand once a second and get a share for three; the owner corrects its grants by what was admitted. Without an owner in reach an entry has an even part. 429 with Retry-After; resends by key or event ID are not counted.

--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -52,6 +52,7 @@
 	heirs map[uint64]heir
 	crashes
 	retries
+	limits
 	shutdown
 }
 
@@ -83,6 +84,7 @@
 		shutdown:  shutdown{drain: o.Drain},
 		picker:    route.NewPicker(route.Options{Random: o.Random}),
 		retries:   newRetries(o.Random),
+		limits:    newLimits(),
 		exchanges: map[string]*exchange{},
 		flight:    map[string]int{},
 		recent:    map[string]map[string]time.Time{},
--- a/internal/core/entry/entry_fleet.go
+++ b/internal/core/entry/entry_fleet.go
@@ -27,6 +27,7 @@
 	}
 	c.configuration = next
 	c.choices = c.subsets(next)
+	clear(c.owners)
 	targets := map[string]bool{}
 	for _, t := range next.Targets {
 		targets[t.Name] = true
--- a/internal/core/entry/entry_request.go
+++ b/internal/core/entry/entry_request.go
@@ -65,7 +65,8 @@
 	if c.configuration == nil || c.drained {
 		return refuse(a.ID, http.StatusServiceUnavailable, "this entry is starting or stopping", defaultRetry)
 	}
-	if _, ok := c.configuration.Workspace(a.Workspace); !ok {
+	w, ok := c.configuration.Workspace(a.Workspace)
+	if !ok {
 		return refuse(a.ID, http.StatusForbidden, "the workspace is not configured", 0)
 	}
 	r, ok := c.configuration.Match(a.Path)
@@ -75,6 +76,9 @@
 	if c.exchanges[a.ID] != nil {
 		return refuse(a.ID, http.StatusConflict, "the request is already in progress here", defaultRetry)
 	}
+	if refusal := c.checkLimit(now, a, w); refusal != nil {
+		return refusal
+	}
 	timeout := time.Duration(r.Timeout)
 	if a.Timeout > 0 {
 		timeout = min(timeout, a.Timeout)
--- a/internal/process/entryd/entryd.go
+++ b/internal/process/entryd/entryd.go
@@ -97,6 +97,7 @@
 	group.Go(func() error { p.Follow(work, p.accept); return nil })
 	group.Go(func() error { p.tick(work); return nil })
 	group.Go(func() error { p.exchangeAll(work); return nil })
+	group.Go(func() error { p.claimAll(work); return nil })
 	group.Go(func() error { p.ReadInstances(work, p.hint); return nil })
 	group.Go(func() error {
 		defer cancel()
--- a/internal/process/entryd/entryd_peers.go
+++ b/internal/process/entryd/entryd_peers.go
@@ -30,6 +30,9 @@
 
 // Exchange takes in another entry's digest and returns an own one.
 func (s *server) Exchange(_ context.Context, d *message.Digest) (*message.Digest, error) {
+	if len(d.Demands) > 0 {
+		return s.process.divide(d), nil
+	}
 	s.process.merge(d)
 	return s.process.digest(), nil
 }
--- /dev/null
+++ b/internal/process/entryd/entryd_shares.go
@@ -0,0 +1,60 @@
+package entryd
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/core/entry"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/limit"
+	"github.com/dragonflydeal/dragonflydeal/internal/wire/message"
+)
+
+// divide answers another entry's demands with its shares.
+func (p *Process) divide(d *message.Digest) *message.Digest {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	grants := p.core.Divide(p.Now(), d.Entry, message.Shares(d.Demands))
+	return &message.Digest{Entry: p.Settings.Name, Grants: message.FromShares(grants)}
+}
+
+// claimAll tells the owners of workspaces the demand here until the context ends.
+func (p *Process) claimAll(ctx context.Context) {
+	ticker := time.NewTicker(limit.Interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		var group sync.WaitGroup
+		for _, c := range p.claims() {
+			group.Go(func() { p.claim(ctx, c) })
+		}
+		group.Wait()
+	}
+}
+
+func (p *Process) claims() []entry.Claim {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.core.Claims(p.Now())
+}
+
+// claim tells one owner and puts its grants in force.
+func (p *Process) claim(ctx context.Context, c entry.Claim) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(p.Settings.Ping))
+	defer cancel()
+	conn := p.Pool.Conn(ctx, c.Owner.Address)
+	defer func() { _ = conn.Close() }()
+	d := &message.Digest{Entry: p.Settings.Name, Demands: message.FromShares(c.Demands)}
+	answer, err := message.NewDRPCEntryClient(conn).Exchange(ctx, d)
+	if err != nil {
+		p.Log.Debug("claim", "owner", c.Owner.Name, "error", err)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.core.Granted(p.Now(), message.Shares(answer.Grants))
+}
