--- a/internal/core/slot/slot.go
+++ b/internal/core/slot/slot.go
@@ -58,9 +58,12 @@
 	running int
 	admission
 	crashes
+	handover
 	supply
 	// limits bound what is kept.
 	limits Limits
+	// group is nil unless the target is a rank of a group.
+	group *group
 	// announced is the time from which the stop was announced to the entries.
 	announced time.Time
 }
@@ -79,12 +82,15 @@
 	Keep time.Duration
 	// Orphan is how long an idempotent request runs on with no stream attached.
 	Orphan time.Duration
+	// Patience is the longest time from the start of a map switch to its last arm.
+	Patience time.Duration
 	// Announce is how long a stopping slot goes on answering, so that entries learn of it.
 	Announce time.Duration
 }
 
 // DefaultLimits are the limits of a slot in operation.
 var DefaultLimits = Limits{
+	Patience: 20 * time.Second,
 	Answer:   8 << 20,
 	Total:    32 << 20,
 	Records:  1 << 15,
@@ -136,8 +142,16 @@
 		return c.result(now, e.Result)
 	case e.Report != nil:
 		return c.report(now, e.Report)
+	case e.Message != nil && e.Message.Handover != nil:
+		return c.takeOver(now, e.Message.Handover)
+	case e.Delivered != nil:
+		return c.delivered(now, e.Delivered)
 	case e.Message != nil:
 		return c.hear(now, e.Message)
+	case e.Group != nil:
+		return c.reportGroup(now, e.Group)
+	case e.Done != nil:
+		return c.doneGroup(now, e.Done)
 	case e.Configuration != nil:
 		return c.configure(now, e.Configuration)
 	case e.Stop != nil:
@@ -188,6 +202,7 @@
 		Suspects:    verdicts.Suspected,
 		Cleared:     verdicts.Cleared,
 		Convicted:   verdicts.Convicted,
+		Successor:   c.successor,
 	}
 }
 
@@ -239,6 +254,7 @@
 		c.target = t
 	}
 	c.plan(now)
+	c.join(now)
 	return append(c.open(), c.admit(now)...)
 }
 
@@ -266,12 +282,13 @@
 	if c.announced.IsZero() {
 		c.announced = now
 	}
-	return append(c.signal("stop"), c.settle(now)...)
+	actions := append(c.signal("stop"), c.leaveRecords(now)...)
+	return append(actions, c.settle(now)...)
 }
 
 // settle lets a leaving slot exit once nothing is in progress and entries know.
 func (c *Core) settle(now time.Time) []Action {
-	if c.state != membership.StateLeaving || c.running > 0 || c.queue.Len() > 0 || c.viewed() {
+	if c.state != membership.StateLeaving || c.running > 0 || c.queue.Len() > 0 || c.viewed() || c.handing() {
 		return nil
 	}
 	if now.Sub(c.announced) < c.limits.Announce {
@@ -284,6 +301,8 @@
 func (c *Core) tick(now time.Time) []Action {
 	actions := c.expire(now)
 	actions = append(actions, c.admit(now)...)
+	actions = append(actions, c.handOver(now)...)
 	actions = append(actions, c.lend(now)...)
+	actions = append(actions, c.tickGroup(now)...)
 	return append(actions, c.settle(now)...)
 }
--- a/internal/core/slot/slot_admission.go
+++ b/internal/core/slot/slot_admission.go
@@ -88,7 +88,7 @@
 
 // admit starts waiting requests while the engine has room, and refuses what cannot be on time.
 func (c *Core) admit(now time.Time) (actions []Action) {
-	for c.running < c.target.Width && c.alive {
+	for c.running < c.target.Width && c.alive && c.admits() {
 		v, ok := c.queue.Peek()
 		if !ok {
 			return actions
--- a/internal/fleet/revision/revision_source.go
+++ b/internal/fleet/revision/revision_source.go
@@ -15,8 +15,11 @@
 	degree = 8
 	// asked is the number of peers that a starting process asks for its revision.
 	asked = 4
-	// hold is how long a source that failed is passed over.
-	hold = 5 * time.Second
+	// firstHold and lastHold bound how long a source that failed is passed over; the time doubles with each failure.
+	firstHold = time.Second
+	lastHold  = 8 * time.Second
+	// centreTries is the number of entries of a data centre that fail before the next one is tried.
+	centreTries = 2
 )
 
 // Plan tells where a process learns of newer values.
@@ -31,18 +34,27 @@
 type Sources struct {
 	// name and centre are those of the process.
 	name, centre string
-	// failed holds the times at which entries could not be followed.
-	failed map[string]time.Time
+	// failed holds the entries that could not be followed last.
+	failed map[string]failure
+}
+
+// failure is what is known of an entry that could not be followed.
+type failure struct {
+	// until is the end of the time in which the entry is passed over.
+	until time.Time
+	// hold is the length of that time.
+	hold time.Duration
 }
 
 // NewSources returns the Sources of a process.
 func NewSources(name, centre string) *Sources {
-	return &Sources{name: name, centre: centre, failed: map[string]time.Time{}}
+	return &Sources{name: name, centre: centre, failed: map[string]failure{}}
 }
 
 // Fail notes that an entry could not be followed.
 func (s *Sources) Fail(now time.Time, entry string) {
-	s.failed[entry] = now
+	hold := min(max(2*s.failed[entry].hold, firstHold), lastHold)
+	s.failed[entry] = failure{until: now.Add(hold), hold: hold}
 }
 
 // Clear notes that an entry answered.
@@ -52,8 +64,7 @@
 
 // usable reports whether an entry may be tried.
 func (s *Sources) usable(now time.Time, entry string) bool {
-	at, ok := s.failed[entry]
-	return !ok || now.Sub(at) >= hold
+	return !now.Before(s.failed[entry].until)
 }
 
 // Plan returns the present sources. Entries of a data centre form a tree with the watchers at its top;
@@ -80,6 +91,16 @@
 	return find(c, s.name) != nil
 }
 
+// failures returns the number of entries of a data centre that are passed over.
+func (s *Sources) failures(now time.Time, c *configuration.Configuration, centre string) (count int) {
+	for _, e := range c.Entries {
+		if e.Centre == centre && !s.usable(now, e.Name) {
+			count++
+		}
+	}
+	return count
+}
+
 // order returns the usable entries of a data centre, the process itself included, ranked for a key.
 func (s *Sources) order(now time.Time, c *configuration.Configuration, centre, key string) []string {
 	var names []string
@@ -101,6 +122,9 @@
 			step = len(c.Centres) - i
 		}
 		centre := c.Centres[(max(own, 0)+step)%len(c.Centres)].Name
+		if s.failures(now, c, centre) >= centreTries {
+			continue
+		}
 		if names := s.order(now, c, centre, centre); len(names) > 0 {
 			return find(c, names[rank%2%len(names)])
 		}
--- a/internal/process/slotd/slotd.go
+++ b/internal/process/slotd/slotd.go
@@ -29,6 +29,8 @@
 	fresh *http.Client
 	// exit is closed when the core has nothing in progress after a stop.
 	exit chan struct{}
+	// counts are the metrics.
+	counts *counts
 
 	mu sync.Mutex
 	// core is guarded by mu.
@@ -60,8 +62,10 @@
 func New(o Options) *Process {
 	limits := slot.DefaultLimits
 	limits.Announce = time.Duration(o.Settings.Drain)
+	n := node.New(o.Options)
 	return &Process{
-		Node:    node.New(o.Options),
+		Node:    n,
+		counts:  newCounts(n.Metrics),
 		client:  newClient(true),
 		fresh:   newClient(false),
 		exit:    make(chan struct{}),
@@ -93,6 +97,7 @@
 	group.Go(func() error { p.Follow(work, p.accept); return nil })
 	group.Go(func() error { p.tick(work); return nil })
 	group.Go(func() error { p.poll(work); return nil })
+	group.Go(func() error { p.watchGroup(work); return nil })
 	group.Go(func() error {
 		defer cancel()
 		return p.await(ctx, work)
@@ -162,6 +167,8 @@
 		}
 	case a.Deliver != nil:
 		p.deliver(a.Deliver)
+	case a.Order != nil:
+		p.order(a.Order)
 	case a.Audit != nil:
 		p.Trail.Record(p.Now(), a.Audit.Kind, a.Audit.Attributes...)
 	case a.Exit != nil && !p.exited:
