--- a/internal/proof/failure/crash_test.go
+++ b/internal/proof/failure/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -119,3 +120,35 @@
 	t.Logf("crashes %d of %d engines", s.crashes(), len(s.engines))
 	is.True(s.crashes() <= len(s.engines))
 }
+
+// TestCrashingRequestInCut resends the poison on both sides of a cut: each part bounds its own engines.
+func TestCrashingRequestInCut(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, siteOptions{centres: 3, entries: 1, engines: 3, poison: poisonBody, restart: 500 * time.Millisecond})
+	s.network.cut(1, 2)
+	s.network.cut(1, 3)
+	// A copy that is held back by the cut may run when it heals: none is sent across.
+	s.await("the cut is noticed", func() bool {
+		return s.cutNoticed(1, "c1") && s.cutNoticed(2, "c1") && s.cutNoticed(3, "c1")
+	})
+	s.resend(18, 3, 1)
+	t.Logf("crashes %d of %d engines", s.crashes(), len(s.engines))
+	is.True(s.crashes() >= 2)
+	is.True(s.crashes() <= 2*suspect.MaxCrashes)
+	s.network.heal()
+	s.awaitServing()
+	s.resend(9, 3, 1)
+	is.True(s.crashes() <= 2*suspect.MaxCrashes)
+}
+
+// cutNoticed reports whether the entry of a data centre sees no serving target across a cut round another one.
+func (s *site) cutNoticed(centre int, apart string) bool {
+	status := s.processes[fmt.Sprintf("entry-c%d-0", centre)].entryStatus()
+	for _, v := range status.Targets {
+		across := strings.Contains(v.Name, apart) != (apart == fmt.Sprintf("c%d", centre))
+		if across && v.State == "serving" {
+			return false
+		}
+	}
+	return len(status.Targets) > 0
+}
