--- a/internal/core/entry/entry_request.go
+++ b/internal/core/entry/entry_request.go
@@ -19,6 +19,8 @@
 const (
 	// maxAttempts bounds the attempts of one request, reconnections included.
 	maxAttempts = 6
+	// lostAttempts bounds the broken attempts in a row at a target whose heartbeats are missing.
+	lostAttempts = 3
 	// defaultRetry is the advice when nothing better is known.
 	defaultRetry = time.Second
 )
@@ -243,13 +245,11 @@
 // reattach opens a new connection to the target that has, or may have, the request.
 func (c *Core) reattach(now time.Time, x *exchange, reason string) []Action {
 	t, ok := c.configuration.Target(x.target)
-	m, known := c.view.Member(now, x.target)
-	lost := !known || m.State == membership.StateLost || m.State == membership.StateGone
 	x.barren++
-	if ok && !lost && x.barren < maxAttempts && now.Before(x.deadline) {
+	if ok && x.barren < c.patience(now, x) && now.Before(x.deadline) {
 		return c.send(now, x, t)
 	}
-	if x.request.Key == "" && !x.request.Lookup && x.assembler.Offset() == 0 {
+	if x.movable() {
 		x.tried[x.target] = true
 		x.sent = false
 		x.doubt = true
@@ -258,6 +258,28 @@
 	return c.unreachable(now, x, reason)
 }
 
+// movable reports whether another target may run the request from its start.
+func (x *exchange) movable() bool {
+	return x.request.Key == "" && !x.request.Lookup && x.assembler.Offset() == 0
+}
+
+// patience returns the number of broken attempts in a row at which the target is given up.
+// Heartbeats too come over a connection that can go silent: a target that seems lost is tried
+// over new ones, unless another target can take the request.
+func (c *Core) patience(now time.Time, x *exchange) int {
+	m, known := c.view.Member(now, x.target)
+	if known && m.State == membership.StateGone {
+		return 0
+	}
+	if known && m.State != membership.StateLost {
+		return maxAttempts
+	}
+	if others, _ := c.candidates(now, x); x.movable() && len(others) > 0 {
+		return 0
+	}
+	return lostAttempts
+}
+
 // unreachable asks the successor of a key's home or ends an exchange whose target cannot be asked.
 func (c *Core) unreachable(now time.Time, x *exchange, reason string) []Action {
 	k, err := key.Parse(x.request.Identity())
