--- a/internal/core/entry/entry_fleet.go
+++ b/internal/core/entry/entry_fleet.go
@@ -32,6 +32,9 @@
 		targets[t.Name] = true
 	}
 	c.view.Forget(func(name string) bool { return targets[name] })
+	for _, b := range c.boards {
+		b.Forget(func(name string) bool { return targets[name] })
+	}
 	return c.watch()
 }
 
@@ -114,6 +117,7 @@
 			continue
 		}
 		c.silent[t.Name] = true
+		c.view.Lose(t.Name)
 		c.gossip.Changed(t.Name)
 		actions = append(actions, c.auditTarget(t.Name, m.State, m.Incarnation))
 	}
