--- a/internal/fleet/revision/revision_test.go
+++ b/internal/fleet/revision/revision_test.go
@@ -126,6 +126,32 @@
 	is.True(err != nil)
 }
 
+// TestPatchHostile checks that patches which are not from this system are refused and unpack to a bounded size.
+func TestPatchHostile(t *testing.T) {
+	large := &Value{Data: make([]byte, 64<<20)}
+	bomb, err := MakePatch(nil, large)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		name string
+		p    *Patch
+	}{
+		{"bomb", bomb},
+		{"empty", &Patch{}},
+		{"not compressed", &Patch{Data: []byte("hello")}},
+		{"unknown base", &Patch{Data: bomb.Data, Base: Position{Revision: 3, Digest: 4}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			data, err := test.p.Apply(nil)
+			is.True(err != nil)
+			is.Equal(len(data), 0)
+		})
+	}
+}
+
 // TestTree checks that every entry's chain of parents ends at a watcher and that no entry has too many followers.
 func TestTree(t *testing.T) {
 	tests := []struct {
--- a/internal/proof/capacity/configuration_test.go
+++ b/internal/proof/capacity/configuration_test.go
@@ -126,6 +126,20 @@
 	})
 }
 
+// BenchmarkConfigurationPlan measures a second of a process's looks at its sources, as often as it takes them.
+func BenchmarkConfigurationPlan(b *testing.B) {
+	each(b, func(b *testing.B, c *configuration.Configuration) {
+		const looks = 15
+		s := revision.NewSources(c.Entries[0].Name, c.Entries[0].Centre)
+		for b.Loop() {
+			for range looks {
+				s.Plan(epoch, c)
+			}
+		}
+		core(b)
+	})
+}
+
 // chain returns the number of hops from a process to a watcher and counts the process as a follower of its parent.
 func chain(c *configuration.Configuration, name, centre string, followers map[string]int) (depth int) {
 	plan := revision.NewSources(name, centre).Plan(epoch, c)
