Do not blame a peer for the time of an own check

Cause: the silence timer of a stream of changes ran on while the receiver checked a large value, so that it closed the stream and passed its source over (TestConfigurationSpreads/megabyte once took 5.2 s under -race at a load of about 90; its log shows eight streams closed by their receivers). Change: the timer runs only while the process waits for the peer.

--- a/internal/process/node/node_configuration_peers.go
+++ b/internal/process/node/node_configuration_peers.go
@@ -146,7 +146,8 @@
 		if err != nil {
 			return err
 		}
-		silence.Reset(f.node.silence())
+		// The time that this process takes for a value says nothing about the peer.
+		silence.Stop()
 		err = f.receive(m, address)
 		if errors.Is(err, errRestart) {
 			return nil
@@ -157,6 +158,7 @@
 		if !more() {
 			return nil
 		}
+		silence.Reset(f.node.silence())
 	}
 }
 
