--- a/internal/core/entry/entry_fleet.go
+++ b/internal/core/entry/entry_fleet.go
@@ -26,11 +26,15 @@
 		return nil
 	}
 	c.configuration = next
+	c.choices = c.subsets(next)
 	targets := map[string]bool{}
 	for _, t := range next.Targets {
 		targets[t.Name] = true
 	}
 	c.view.Forget(func(name string) bool { return targets[name] })
+	for _, b := range c.boards {
+		b.Forget(func(name string) bool { return targets[name] })
+	}
 	return c.watch()
 }
 
@@ -53,7 +57,11 @@
 		_, ok := targets[target]
 		return ok
 	}
-	c.view.Watch(direct, silentBeats*c.subset.Beat)
+	silence := c.silence
+	if !c.subset.Whole {
+		silence = silentBeats * c.subset.Beat
+	}
+	c.view.Watch(direct, silence)
 	return []Action{{Watch: &Watch{Targets: targets, Beat: c.subset.Beat}}}
 }
 
@@ -109,6 +117,7 @@
 			continue
 		}
 		c.silent[t.Name] = true
+		c.view.Lose(t.Name)
 		c.gossip.Changed(t.Name)
 		actions = append(actions, c.auditTarget(t.Name, m.State, m.Incarnation))
 	}
@@ -166,3 +175,9 @@
 	}
 	return membership.Partner(c.configuration, c.name, c.centre, c.random)
 }
+
+// Age returns the age of what is known of a target.
+func (c *Core) Age(now time.Time, target string) (age time.Duration, ok bool) {
+	m, ok := c.view.Member(now, target)
+	return now.Sub(m.Made), ok
+}
--- a/internal/core/entry/entry_request.go
+++ b/internal/core/entry/entry_request.go
@@ -14,7 +14,6 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/request/answer"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/key"
-	"github.com/dragonflydeal/dragonflydeal/internal/request/suspect"
 )
 
 const (
@@ -42,6 +41,8 @@
 	deadline time.Time
 	// sent is set when a byte of any attempt may have reached a slot.
 	sent bool
+	// advice is the newest one from a slot, or zero.
+	advice time.Duration
 	// doubt is set when a target was given up that may have run the request.
 	doubt bool
 	// certain is set when the key's home said that the call was not run.
@@ -166,18 +167,19 @@
 		if !x.assembler.Ends(k) {
 			return c.finish(x, http.StatusBadGateway, call.OutcomeFailed, "the answer ends before what was sent of it", 0)
 		}
-		c.book.Note(now, x.request.Fingerprint, suspect.Cleared)
+		c.succeed(now, x)
 		return c.complete(x, k)
 	case call.OutcomeNotRun:
-		x.tried[x.target] = true
+		c.fail(now, x)
 		switch {
-		case x.request.Lookup:
-			return c.finish(x, statusOf(k, http.StatusGone), k.Outcome, k.Reason, k.Retry)
 		case x.request.Key != "":
 			return c.closed(now, x, k)
+		case x.request.Lookup:
+			return c.finish(x, statusOf(k, http.StatusGone), k.Outcome, k.Reason, k.Retry)
 		case k.Status != 0:
 			return c.finish(x, k.Status, k.Outcome, k.Reason, k.Retry)
 		}
+		x.advice = k.Retry
 		return c.attempt(now, x)
 	default:
 		return c.finish(x, statusOf(k, http.StatusBadGateway), k.Outcome, k.Reason, k.Retry)
@@ -229,7 +231,7 @@
 	x.signal("break")
 	x.sent = x.sent || b.Sent
 	if !x.sent {
-		x.tried[x.target] = true
+		c.fail(now, x)
 		if x.request.Key != "" || x.request.Lookup {
 			return c.unreachable(now, x, b.Reason)
 		}
@@ -248,7 +250,7 @@
 		return c.send(now, x, t)
 	}
 	if x.request.Key == "" && !x.request.Lookup && x.assembler.Offset() == 0 {
-		x.tried[x.target] = true
+		c.fail(now, x)
 		x.sent = false
 		x.doubt = true
 		return c.attempt(now, x)
@@ -269,7 +271,7 @@
 	if x.request.Key == "" && !x.request.Lookup {
 		outcome = call.OutcomeFailed
 	}
-	return c.finish(x, http.StatusBadGateway, outcome, reason, defaultRetry)
+	return c.finish(x, http.StatusBadGateway, outcome, reason, c.advice(x))
 }
 
 // abandon ends an exchange whose caller no longer waits.
@@ -296,7 +298,7 @@
 		if x.request.Key != "" || x.request.Lookup {
 			outcome = call.OutcomeUnknown
 		}
-		actions = append(actions, c.finish(x, http.StatusGatewayTimeout, outcome, "the deadline passed", defaultRetry)...)
+		actions = append(actions, c.finish(x, http.StatusGatewayTimeout, outcome, "the deadline passed", c.advice(x))...)
 	}
 	return actions
 }
--- a/internal/core/slot/slot_job.go
+++ b/internal/core/slot/slot_job.go
@@ -48,6 +48,10 @@
 	reason  string
 	// crashed is set when the engine died while it ran the job.
 	crashed bool
+	// started is the time of the start at the engine, or zero.
+	started time.Time
+	// retry is the advice to the caller of a refused job, or zero.
+	retry time.Duration
 }
 
 // arrive attaches a stream to a known request or admits a new one.
@@ -79,7 +83,7 @@
 	id := a.Identity()
 	c.jobs[id] = j
 	c.active[id] = j
-	c.queue = append(c.queue, id)
+	c.line(id, j)
 	acknowledge := Action{Chunk: &Chunk{Stream: a.Stream, Chunk: call.Chunk{ID: a.ID}}}
 	return append([]Action{acknowledge}, c.admit(now)...)
 }
@@ -119,6 +123,7 @@
 		c.records.Close(j.request.Key, j.request.Fingerprint)
 	}
 	delete(c.active, id)
+	c.owe(id, j)
 	c.finished = append(c.finished, id)
 	if j.buffer.Held() > 0 {
 		c.kept = append(c.kept, id)
@@ -186,6 +191,7 @@
 		outcome, reason = call.OutcomeFailed, "the answer is larger than what is kept"
 	case outcome == call.OutcomeComplete:
 		signal = "complete"
+		c.observe(now, j)
 	case outcome == call.OutcomeNotRun:
 		signal = "refuse"
 	case j.request.Key != "":
@@ -209,7 +215,7 @@
 		}
 		switch j.state {
 		case jobQueued:
-			c.leave(id)
+			c.queue.Remove(id)
 			actions = append(actions, c.end(now, j, "cancel", call.OutcomeNotRun, "nobody waits for the answer")...)
 		case jobRunning:
 			actions = append(actions, Action{Abort: &Abort{ID: id}})
