--- a/internal/group/balance/balance_test.go
+++ b/internal/group/balance/balance_test.go
@@ -57,7 +57,7 @@
 func BenchmarkBalance(b *testing.B) {
 	for _, z := range sizes {
 		for _, w := range workloads {
-			for _, name := range []string{"never", "replan", "packing", "ours-low", "ours-high"} {
+			for _, name := range []string{"never", "replan", "packing", "ours-low", "ours-high", "ours-blind"} {
 				b.Run(fmt.Sprintf("%s/%s/%s", z.name, w.name, name), func(b *testing.B) {
 					for range b.N {
 						var o outcome
@@ -86,6 +86,8 @@
 		return &repack{size: z, interval: 1}
 	case "packing":
 		return &repack{size: z, interval: 60}
+	case "ours-blind":
+		return blind{newPlanned(z, priceLow)}
 	case "ours-low":
 		return newPlanned(z, priceLow)
 	case "ours-high":
--- a/internal/group/balance/workload_test.go
+++ b/internal/group/balance/workload_test.go
@@ -216,6 +216,11 @@
 	return p.Decide(now, current).Placement
 }
 
+// blind is the planner under test without the times of the ranks.
+type blind struct{ planned }
+
+func (p blind) observe(_ *Placement, tokens []uint64, _ []float64) { p.Observe(tokens) }
+
 func newPlanned(z size, price float64) planned {
 	return planned{New(Options{
 		Experts: z.experts, Ranks: z.ranks, Width: z.width, Price: price,
--- /dev/null
+++ b/internal/group/weights/weights_test.go
@@ -0,0 +1,168 @@
+package weights
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	storeRate = 40.0
+	tickTime  = 5 * time.Millisecond
+	loadTime  = 20 * time.Millisecond
+)
+
+// store gives a limited number of experts a second, with a burst of one second's worth.
+type store struct {
+	room   float64
+	last   time.Time
+	random *rand.Rand
+	// fail is the share of loads that fail half way.
+	fail float64
+}
+
+func (s *store) take(now time.Time) bool {
+	s.room = min(storeRate, s.room+storeRate*now.Sub(s.last).Seconds())
+	s.last = now
+	if s.room < 1 {
+		return false
+	}
+	s.room--
+	return true
+}
+
+// result is what one run gave.
+type result struct {
+	// times are when each rank was whole, in seconds.
+	times []float64
+	// loads, failed and refused count what the store saw.
+	loads, failed, refused int
+}
+
+// race lets the first ranks of a data centre load at once; policy changes a loader after each event.
+func race(ranks, active, experts int, seed uint64, fail float64, policy func(l *Loader)) (r result) {
+	s := &store{random: rand.New(rand.NewPCG(seed, 3)), fail: fail}
+	start := time.Unix(0, 0)
+	s.last = start
+	loaders := make([]*Loader, active)
+	ends := make([]time.Time, active)
+	r.times = make([]float64, active)
+	for i := range loaders {
+		loaders[i] = New(Options{Rate: storeRate, Loaders: ranks})
+		wanted := s.random.Perm(experts)
+		loaders[i].Want(wanted, make([]float64, experts))
+	}
+	for now := start; now.Sub(start) < 10*time.Minute; now = now.Add(tickTime) {
+		done := 0
+		for _, i := range s.random.Perm(active) {
+			l := loaders[i]
+			if !ends[i].IsZero() && !now.Before(ends[i]) {
+				ends[i] = time.Time{}
+				failed := s.random.Float64() < s.fail
+				l.Loaded(!failed)
+				if failed {
+					r.failed++
+				}
+			}
+			if l.Whole() {
+				if r.times[i] == 0 {
+					r.times[i] = now.Sub(start).Seconds()
+				}
+				done++
+				continue
+			}
+			policy(l)
+			if _, ok := l.Next(now); !ok {
+				continue
+			}
+			if !s.take(now) {
+				r.refused++
+				l.Refused(now)
+				continue
+			}
+			r.loads++
+			ends[i] = now.Add(loadTime)
+		}
+		if done == active {
+			return r
+		}
+	}
+	return r
+}
+
+func adaptive(*Loader) {}
+
+func fixed(l *Loader) { l.rate = l.part() }
+
+func greedy(l *Loader) { l.rate, l.next = 1000, time.Time{} }
+
+func TestNothingLoadedTwiceAndNoneStarved(t *testing.T) {
+	tests := []struct {
+		name          string
+		ranks, active int
+		fail          float64
+	}{
+		{"all at once", 12, 12, 0},
+		{"one group of three", 12, 4, 0},
+		{"loads fail half way", 12, 12, 0.1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			r := race(test.ranks, test.active, 20, 1, test.fail, adaptive)
+			is.Equal(r.loads, 20*test.active+r.failed)
+			// Each rank is whole within the time of its own part of the rate, with room for the failures.
+			part := 20 * float64(test.ranks) / storeRate
+			is.True(slices.Max(r.times) <= part*(1+3*test.fail)+1)
+		})
+	}
+}
+
+func TestLoadsForADroppedMapAreKept(t *testing.T) {
+	is := is.New(t)
+	l := New(Options{Rate: 10, Loaders: 1})
+	l.Want([]int{3, 5}, []float64{1, 2})
+	now := time.Unix(0, 0)
+	e, ok := l.Next(now)
+	is.True(ok)
+	is.Equal(e, 5)
+	l.Loaded(true)
+	l.Want([]int{5, 7}, []float64{1, 1})
+	is.True(!l.Whole())
+	e, ok = l.Next(now.Add(time.Second))
+	is.True(ok)
+	is.Equal(e, 7)
+	l.Loaded(true)
+	is.True(l.Whole())
+}
+
+func BenchmarkStore(b *testing.B) {
+	policies := []struct {
+		name string
+		f    func(*Loader)
+	}{{"fixed", fixed}, {"greedy", greedy}, {"ours", adaptive}}
+	for _, active := range []int{4, 8, 12} {
+		for _, p := range policies {
+			b.Run(fmt.Sprintf("%d-of-12/%s", active, p.name), func(b *testing.B) {
+				for range b.N {
+					var times []float64
+					refused, loads := 0, 0
+					for seed := range uint64(5) {
+						r := race(12, active, 20, seed, 0.05, p.f)
+						times = append(times, r.times...)
+						refused += r.refused
+						loads += r.loads
+					}
+					b.ReportMetric(slices.Max(times), "worst-s")
+					b.ReportMetric(slices.Min(times), "first-s")
+					b.ReportMetric(float64(loads)/5/storeRate, "bound-s")
+					b.ReportMetric(float64(refused)/float64(loads), "refused/load")
+				}
+			})
+		}
+	}
+}
