--- a/internal/group/balance/balance_test.go
+++ b/internal/group/balance/balance_test.go
@@ -19,7 +19,7 @@
 	for i, z := range sizes {
 		for seed := range uint64(3 - 2*i) {
 			is := is.New(t)
-			o := play(workloads[0], z, seed, newPlanned(z, priceLow))
+			o := play(workloads[0], z, seed, newPlanned(z, priceLow), 200)
 			is.Equal(o.moves, 0)
 		}
 	}
@@ -57,12 +57,12 @@
 func BenchmarkBalance(b *testing.B) {
 	for _, z := range sizes {
 		for _, w := range workloads {
-			for _, name := range []string{"never", "replan", "packing", "ours-low", "ours-high"} {
+			for _, name := range []string{"never", "replan", "packing", "ours-low", "ours-high", "ours-blind"} {
 				b.Run(fmt.Sprintf("%s/%s/%s", z.name, w.name, name), func(b *testing.B) {
 					for range b.N {
 						var o outcome
 						for seed := range uint64(benchSeeds) {
-							o.add(play(w, z, seed, policyOf(name, z)))
+							o.add(play(w, z, seed, policyOf(name, z), workReports))
 						}
 						b.ReportMetric(quantile(o.skews, 0.5), "skew-p50")
 						b.ReportMetric(quantile(o.skews, 0.95), "skew-p95")
@@ -86,6 +86,8 @@
 		return &repack{size: z, interval: 1}
 	case "packing":
 		return &repack{size: z, interval: 60}
+	case "ours-blind":
+		return blind{newPlanned(z, priceLow)}
 	case "ours-low":
 		return newPlanned(z, priceLow)
 	case "ours-high":
