Add a power shortage to the trial; keep it steady on a loaded machine

Cause: the trial had no cap, and on a machine with a load of 85 to 100 on 12 cores under the race detector it ended with 'nothing breaks off without a fault: BROKEN 3962 3', each 'the connection is silent' with a ping of 400 ms. Ruled out: a fault of the steps (the times of the breaks lie in all of them, and none is seen without the load). A step lowers each site's cap and watches the draw at the stand-ins.

--- a/internal/trial/site/site.go
+++ b/internal/trial/site/site.go
@@ -36,6 +36,7 @@
 	options  Options
 	network  *Network
 	platform *platform.Platform
+	meter    *meter
 	// engines and services are the stand-ins by target name.
 	engines  map[string]*engine.Engine
 	services map[string]*service.Service
@@ -99,7 +100,7 @@
 // New starts a site and waits until its entries serve.
 func New(ctx context.Context, o Options) (s *Site, err error) {
 	s = &Site{
-		options: o, network: NewNetwork(), platform: platform.New(),
+		options: o, network: NewNetwork(), platform: platform.New(), meter: newMeter(),
 		engines: map[string]*engine.Engine{}, services: map[string]*service.Service{}, processes: map[string]*process{},
 		client: &http.Client{Timeout: time.Second},
 	}
--- a/internal/trial/site/trial.go
+++ b/internal/trial/site/trial.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &trial{site: s, ledger: newLedger(), began: began, progress: progress}
+	t := &trial{site: s, ledger: newLedger(began), began: began, progress: progress}
 	t.say("%d entries and %d targets serve in %d data centres", len(s.configuration.Entries), len(s.configuration.Targets), len(o.Centres))
 	err = t.run(ctx)
 	s.Close()
@@ -47,6 +47,10 @@
 	overdue int
 	// idle counts the data centres that completed nothing during a cut, of islands looked at.
 	idle, islands int
+	// capped counts the data centres whose draw was watched under a cap, and over those whose draw was above it.
+	capped, over int
+	// draw is the highest draw of a data centre under the cap in watts.
+	draw int
 	// dirty counts the processes that ended with an error, of stops asked to.
 	dirty, stops int
 	// calls is the number of calls at the platform's configuration service when the load ended.
@@ -61,11 +65,12 @@
 	run  func(*trial, context.Context) error
 }
 
-// steps are run in order. A drift of expert popularity and a power shortage go before the cut.
+// steps are run in order. A drift of expert popularity goes before the shortage, once slots lead map switches.
 var steps = []step{
 	{"load", (*trial).settle},
 	{"drain", (*trial).drain},
 	{"configuration", (*trial).configure},
+	{"power", (*trial).shortage},
 	{"cut", (*trial).cut},
 	{"entry", (*trial).replace},
 }
@@ -80,6 +85,7 @@
 	work, cancel := context.WithCancel(ctx)
 	var group sync.WaitGroup
 	t.watch = t.site.startWatch(work, &group)
+	group.Go(func() { t.ledger.watchPauses(work) })
 	started := time.Now()
 	callers := t.site.startLoad(work, t.ledger)
 	for _, v := range steps {
@@ -116,6 +122,7 @@
 		{"a configuration is in force in reach within " + revisionLimit.String(), len(t.lags), t.overdue},
 		{"the configuration in force never falls", looks, len(falls)},
 		{"a data centre that is cut off goes on serving", t.islands, t.idle},
+		{"a site's draw stays under its cap", t.capped, t.over},
 		{"a stopped process ends without an error", t.stops, t.dirty},
 	}
 	r.Measures = t.measures()
@@ -159,13 +166,15 @@
 		{"answers completed, rate", float64(l.complete) / t.served.Seconds(), "answers/s"},
 		{"refused", float64(l.refused), "requests"},
 		{"refused, share", 100 * float64(l.refused) / float64(all), "%"},
-		{"visible errors during faults", float64(l.errors - l.cutOff), "requests"},
+		{"pauses of this program by its machine", float64(len(l.pauses)), "pauses"},
+		{"visible errors during faults and pauses", float64(l.errors - l.cutOff), "requests"},
 	}
 	out = append(out, quantiles("stream, time to first token", l.first)...)
 	out = append(out, quantiles("stream, time between tokens", l.between)...)
 	out = append(out, quantiles("plain call", l.call)...)
 	return append(out,
 		Measure{"configuration in force everywhere in reach, slowest", lag.Seconds(), "s"},
+		Measure{"highest draw of a site during the shortage", float64(t.draw), "W"},
 		Measure{"calls at the configuration service", float64(t.calls) / t.served.Seconds(), "calls/s"},
 	)
 }
