Let expert popularity drift in the trial and watch the rebalance

Cause: the trial left out the drift of expert popularity, which the users ask to see. Change: the last engine of each data centre is a rank of one group on the stand-in of the group; two experts of one rank become popular, and the trial waits for the new map, checks that no step ran with two, and prints the skew and the experts loaded.

--- a/internal/trial/site/report.go
+++ b/internal/trial/site/report.go
@@ -72,7 +72,7 @@
 	}
 	fmt.Fprintln(w, "\nMEASURE\tVALUE\tUNIT\t")
 	for _, m := range r.Measures {
-		fmt.Fprintf(w, "%s\t%.4g\t%s\t\n", m.Name, m.Value, m.Unit)
+		fmt.Fprintf(w, "%s\t%.6g\t%s\t\n", m.Name, m.Value, m.Unit)
 	}
 	for _, d := range r.Details {
 		fmt.Fprintf(w, "detail: %s\n", d)
--- a/internal/trial/site/site.go
+++ b/internal/trial/site/site.go
@@ -21,6 +21,7 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/process/node"
 	"github.com/dragonflydeal/dragonflydeal/internal/process/slotd"
 	"github.com/dragonflydeal/dragonflydeal/internal/trial/engine"
+	"github.com/dragonflydeal/dragonflydeal/internal/trial/group"
 	"github.com/dragonflydeal/dragonflydeal/internal/trial/platform"
 	"github.com/dragonflydeal/dragonflydeal/internal/trial/service"
 )
@@ -37,6 +38,9 @@
 	network  *Network
 	platform *platform.Platform
 	meter    *meter
+	// group is the stand-in of the expert-parallel group; stopGroup ends its steps.
+	group     *group.Group
+	stopGroup context.CancelFunc
 	// engines and services are the stand-ins by target name.
 	engines  map[string]*engine.Engine
 	services map[string]*service.Service
@@ -100,10 +104,13 @@
 // New starts a site and waits until its entries serve.
 func New(ctx context.Context, o Options) (s *Site, err error) {
 	s = &Site{
-		options: o, network: NewNetwork(), platform: platform.New(), meter: newMeter(),
+		options: o, network: NewNetwork(), platform: platform.New(), meter: newMeter(), group: newGroup(o),
 		engines: map[string]*engine.Engine{}, services: map[string]*service.Service{}, processes: map[string]*process{},
 		client: &http.Client{Timeout: time.Second},
 	}
+	steps, stop := context.WithCancel(context.WithoutCancel(ctx))
+	s.stopGroup = stop
+	go s.group.Run(steps)
 	if err := s.build(); err != nil {
 		s.Close()
 		return nil, fmt.Errorf("build the site: %w", err)
@@ -125,6 +132,7 @@
 // Close stops all processes gracefully and then the stand-ins.
 func (s *Site) Close() {
 	s.network.Heal()
+	defer s.stopGroup()
 	for _, p := range s.processes {
 		if p.stop != nil {
 			p.stop()
--- a/internal/trial/site/site_build.go
+++ b/internal/trial/site/site_build.go
@@ -72,7 +72,11 @@
 		name := fmt.Sprintf("desk-%s-%d", centre, i+1)
 		stand := engine.New(engine.Options{Step: engineStep, Lag: engineLag})
 		s.engines[name] = stand
-		if err := s.buildTarget(name, centre, configuration.KindEngine, "desk", platform, stand.Handler()); err != nil {
+		t := configuration.Target{Name: name, Centre: centre, Kind: configuration.KindEngine, Pool: "desk"}
+		if i == s.options.Engines-1 {
+			s.formGroup(&t)
+		}
+		if err := s.buildTarget(t, platform, stand.Handler()); err != nil {
 			return err
 		}
 	}
@@ -80,7 +84,8 @@
 		name := fmt.Sprintf("hold-%s-%d", centre, i+1)
 		stand := service.New(service.Options{Delay: serviceDelay})
 		s.services[name] = stand
-		if err := s.buildTarget(name, centre, configuration.KindService, "hold", platform, stand.Handler()); err != nil {
+		t := configuration.Target{Name: name, Centre: centre, Kind: configuration.KindService, Pool: "hold"}
+		if err := s.buildTarget(t, platform, stand.Handler()); err != nil {
 			return err
 		}
 	}
@@ -98,15 +103,18 @@
 	return nil
 }
 
-func (s *Site) buildTarget(name, centre string, kind configuration.Kind, pool string, platform netip.AddrPort, handler http.Handler) (err error) {
-	p, err := s.addProcess(settings.RoleSlot, name, centre, platform)
+func (s *Site) buildTarget(t configuration.Target, platform netip.AddrPort, handler http.Handler) (err error) {
+	p, err := s.addProcess(settings.RoleSlot, t.Name, t.Centre, platform)
 	if err != nil {
 		return err
 	}
-	p.settings.Engine, err = s.serve(s.meter.wrap(centre, handler))
-	s.configuration.Targets = append(s.configuration.Targets, configuration.Target{
-		Name: name, Centre: centre, Kind: kind, Pool: pool, Address: p.settings.Listen, Width: width,
-	})
+	handler = s.meter.wrap(t.Centre, handler)
+	if t.Group != "" {
+		handler = s.group.Handler(t.Rank, handler)
+	}
+	p.settings.Engine, err = s.serve(handler)
+	t.Address, t.Width = p.settings.Listen, width
+	s.configuration.Targets = append(s.configuration.Targets, t)
 	return err
 }
 
--- a/internal/trial/site/trial.go
+++ b/internal/trial/site/trial.go
@@ -47,6 +47,15 @@
 	overdue int
 	// idle counts the data centres that completed nothing during a cut, of islands looked at.
 	idle, islands int
+	// groupSteps counts the steps of the group, and mixed those that ran with two maps.
+	groupSteps, mixed int
+	// switches counts the rebalances that were due, and stuck those that did not come in time.
+	switches, stuck int
+	// skewBefore and skewAfter are the largest load of a rank over the mean, after the drift and after the rebalance.
+	skewBefore, skewAfter float64
+	// loaded counts the experts that the rebalance loaded, and rebalanced is the time until the new map was in use.
+	loaded     int
+	rebalanced time.Duration
 	// capped counts the data centres whose draw was watched under a cap, and over those whose draw was above it.
 	capped, over int
 	// draw is the highest draw of a data centre under the cap in watts.
@@ -65,11 +74,12 @@
 	run  func(*trial, context.Context) error
 }
 
-// steps are run in order. A drift of expert popularity goes before the shortage, once slots lead map switches.
+// steps are run in order.
 var steps = []step{
 	{"load", (*trial).settle},
 	{"drain", (*trial).drain},
 	{"configuration", (*trial).configure},
+	{"drift", (*trial).drift},
 	{"power", (*trial).shortage},
 	{"cut", (*trial).cut},
 	{"entry", (*trial).replace},
@@ -96,6 +106,8 @@
 	}
 	t.served = time.Since(started)
 	t.calls = t.site.platform.Calls()
+	state := t.site.group.State()
+	t.groupSteps, t.mixed = int(state.Step), len(state.Broken)
 	t.say("the load ends; the last answers are awaited")
 	cancel()
 	callers.wait()
@@ -122,6 +134,8 @@
 		{"a configuration is in force in reach within " + revisionLimit.String(), len(t.lags), t.overdue},
 		{"the configuration in force never falls", looks, len(falls)},
 		{"a data centre that is cut off goes on serving", t.islands, t.idle},
+		{"all ranks of a group use one map in every step", t.groupSteps, t.mixed},
+		{"a drift leads to a new map within " + rebalanceLimit.String(), t.switches, t.stuck},
 		{"a site's draw stays under its cap", t.capped, t.over},
 		{"a stopped process ends without an error", t.stops, t.dirty},
 	}
@@ -174,6 +188,10 @@
 	out = append(out, quantiles("plain call", l.call)...)
 	return append(out,
 		Measure{"configuration in force everywhere in reach, slowest", lag.Seconds(), "s"},
+		Measure{"step-time skew after the drift", t.skewBefore, "max/mean"},
+		Measure{"step-time skew after the rebalance", t.skewAfter, "max/mean"},
+		Measure{"experts loaded by the rebalance", float64(t.loaded), "experts"},
+		Measure{"drift to new map in use", t.rebalanced.Seconds(), "s"},
 		Measure{"highest draw of a site during the shortage", float64(t.draw), "W"},
 		Measure{"calls at the configuration service", float64(t.calls) / t.served.Seconds(), "calls/s"},
 	)
