Give the cost benchmarks ports that outgoing connections do not take

Cause: BenchmarkRequest failed twice with "bind: address already in use": its ports came from the range of outgoing connections. Change: ports from 20,000 to 30,000.

--- a/internal/proof/cost/rig_test.go
+++ b/internal/proof/cost/rig_test.go
@@ -11,8 +11,10 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,8 +30,18 @@
 	host    = "127.18.0."
 	width   = 4096
 	timeout = 60 * time.Second
+	// firstPort and lastPort bound the ports of the processes.
+	firstPort = 20_000
+	lastPort  = 30_000
 )
 
+// nextPort is the port that was tried last.
+var nextPort atomic.Int32
+
+func init() {
+	nextPort.Store(int32(firstPort + os.Getpid()%(lastPort-firstPort-1_000)))
+}
+
 // rig is an entry and a slot in this process before a stand-in for an engine.
 type rig struct {
 	// entry and direct are the addresses at which callers reach the system and the stand-in.
@@ -131,12 +143,17 @@
 
 func free(b *testing.B, number byte) netip.AddrPort {
 	b.Helper()
-	l, err := net.Listen("tcp", fmt.Sprint(host, number, ":0"))
-	if err != nil {
-		b.Fatal(err)
+	// Ports above this range are taken by outgoing connections.
+	for port := firstPort; port < lastPort; port++ {
+		l, err := net.Listen("tcp", fmt.Sprint(host, number, ":", nextPort.Add(1)))
+		if err != nil {
+			continue
+		}
+		defer l.Close()
+		return l.Addr().(*net.TCPAddr).AddrPort()
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).AddrPort()
+	b.Fatal("no port is free")
+	return netip.AddrPort{}
 }
 
 // await waits until the system serves.
