--- a/internal/proof/cost/rig_test.go
+++ b/internal/proof/cost/rig_test.go
@@ -102,8 +102,11 @@
 	b.Cleanup(func() {
 		cancel()
 		r.client.CloseIdleConnections()
-		<-done
-		<-done
+		for range cap(done) {
+			if err := <-done; err != nil {
+				b.Error(err)
+			}
+		}
 		stand.CloseClientConnections()
 		stand.Close()
 		service.CloseClientConnections()
