--- a/internal/group/balance/workload_test.go
+++ b/internal/group/balance/workload_test.go
@@ -121,7 +121,7 @@
 }
 
 // play runs a policy on a workload.
-func play(w workload, z size, seed uint64, p policy) (o outcome) {
+func play(w workload, z size, seed uint64, p policy, reports int) (o outcome) {
 	random := rand.New(rand.NewPCG(seed, 5))
 	base := basic(random, z.experts)
 	at := w.loads(random, base, z.experts)
@@ -134,7 +134,7 @@
 	}
 	bound, bounded := 0.0, []float64(nil)
 	current := Pack(base, z.ranks, z.width)
-	for n := range workReports {
+	for n := range reports {
 		loads := at(n)
 		times := current.Times(loads, slowness)
 		skew := Skew(times)
@@ -216,6 +216,11 @@
 	return p.Decide(now, current).Placement
 }
 
+// blind is the planner under test without the times of the ranks.
+type blind struct{ planned }
+
+func (p blind) observe(_ *Placement, tokens []uint64, _ []float64) { p.Observe(tokens) }
+
 func newPlanned(z size, price float64) planned {
 	return planned{New(Options{
 		Experts: z.experts, Ranks: z.ranks, Width: z.width, Price: price,
