Annotate errors with merry

Cause: the house style asks for merry; errors were annotated with fmt.Errorf. Change: deferred annotations and sentinels go through merry; texts stay as they are. Seen: the tests of the packages touched, and the command scripts, pass.

--- a/internal/base/chart/chart.go
+++ b/internal/base/chart/chart.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/tailscale/hujson"
 )
 
@@ -44,7 +45,7 @@
 func Parse(data []byte) (c *Chart, err error) {
 	defer func() {
 		if err != nil {
-			err = fmt.Errorf("parse state chart: %w", err)
+			err = merry.Prepend(err, "parse state chart")
 		}
 	}()
 	plain, err := hujson.Standardize(slices.Clone(data))
@@ -69,15 +70,15 @@
 
 func (c *Chart) check() error {
 	if c.Name == "" {
-		return fmt.Errorf("the chart has no name")
+		return merry.New("the chart has no name")
 	}
 	if _, ok := c.States[c.Start]; !ok {
-		return fmt.Errorf("chart %s: start state %q is not defined", c.Name, c.Start)
+		return merry.Errorf("chart %s: start state %q is not defined", c.Name, c.Start)
 	}
 	for state, moves := range c.States {
 		for signal, next := range moves {
 			if _, ok := c.States[next]; !ok {
-				return fmt.Errorf("chart %s: state %s on %s leads to undefined state %q", c.Name, state, signal, next)
+				return merry.Errorf("chart %s: state %s on %s leads to undefined state %q", c.Name, state, signal, next)
 			}
 		}
 	}
--- a/internal/fleet/revision/revision_patch.go
+++ b/internal/fleet/revision/revision_patch.go
@@ -1,8 +1,7 @@
 package revision
 
 import (
-	"fmt"
-
+	"github.com/ansel1/merry/v2"
 	"github.com/klauspost/compress/zstd"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
@@ -29,7 +28,7 @@
 func MakePatch(base, value *Value) (p *Patch, err error) {
 	defer func() {
 		if err != nil {
-			err = fmt.Errorf("make patch to revision %d: %w", value.Revision, err)
+			err = merry.Prependf(err, "make patch to revision %d", value.Revision)
 		}
 	}()
 	options := []zstd.EOption{zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedFastest)}
@@ -51,7 +50,7 @@
 func (p *Patch) Apply(base *Value) (data []byte, err error) {
 	defer func() {
 		if err != nil {
-			err = fmt.Errorf("apply patch to revision %d: %w", p.Revision, err)
+			err = merry.Prependf(err, "apply patch to revision %d", p.Revision)
 		}
 	}()
 	options := []zstd.DOption{zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(configuration.MaxSize)}
--- a/internal/fleet/settings/settings.go
+++ b/internal/fleet/settings/settings.go
@@ -2,10 +2,11 @@
 package settings
 
 import (
-	"fmt"
 	"net/netip"
 	"os"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/dragonflydeal/dragonflydeal/internal/base/document"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
 )
@@ -58,7 +59,7 @@
 func Load(path string, role Role) (s *Settings, err error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+		return nil, merry.Prepend(err, "settings")
 	}
 	s, faults := Read(path, data)
 	if len(faults) == 0 {
--- a/internal/group/balance/placement.go
+++ b/internal/group/balance/placement.go
@@ -3,9 +3,9 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"slices"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -33,7 +33,7 @@
 func Decode(data []byte) (p *Placement, err error) {
 	p = &Placement{}
 	if err := json.Unmarshal(data, p); err != nil {
-		return nil, fmt.Errorf("expert map: %w", err)
+		return nil, merry.Prepend(err, "expert map")
 	}
 	return p, nil
 }
--- a/internal/operator/commands/import.go
+++ b/internal/operator/commands/import.go
@@ -9,6 +9,8 @@
 	"os"
 	"path/filepath"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/dragonflydeal/dragonflydeal/internal/operator/register"
 )
 
@@ -56,7 +58,7 @@
 func replaceFile(path string, data []byte) (err error) {
 	defer func() {
 		if err != nil {
-			err = fmt.Errorf("write %s: %w", path, err)
+			err = merry.Prependf(err, "write %s", path)
 		}
 	}()
 	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".*")
--- a/internal/operator/commands/status.go
+++ b/internal/operator/commands/status.go
@@ -11,6 +11,8 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/dragonflydeal/dragonflydeal/internal/operator/audit"
 )
 
@@ -116,7 +118,7 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("GET %s: status %d", path, response.StatusCode)
+		return merry.Errorf("GET %s: status %d", path, response.StatusCode)
 	}
 	return json.NewDecoder(io.LimitReader(response.Body, statusSize)).Decode(into)
 }
--- a/internal/operator/commands/trial.go
+++ b/internal/operator/commands/trial.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"log/slog"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/dragonflydeal/dragonflydeal/internal/trial/site"
 )
 
@@ -19,7 +20,7 @@
 }
 
 // errBroken reports a trial in which something did not hold.
-var errBroken = errors.New("something that must always hold was broken")
+var errBroken = merry.Sentinel("something that must always hold was broken")
 
 func (c *trialCommand) run(ctx context.Context, stdout, stderr io.Writer) error {
 	log := slog.New(slog.DiscardHandler)
--- a/internal/process/entryd/entryd_slots.go
+++ b/internal/process/entryd/entryd_slots.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"net/netip"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"storj.io/drpc"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/core/entry"
@@ -13,7 +13,7 @@
 )
 
 // errSilent reports a connection without a sign of life.
-var errSilent = errors.New("the connection is silent")
+var errSilent = merry.Sentinel("the connection is silent")
 
 // start begins an attempt in the background and ends the one before; mu is held.
 func (p *Process) start(s *entry.Send) {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -4,13 +4,13 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -86,7 +86,7 @@
 func (n *Node) Listen(address netip.AddrPort) (l net.Listener, err error) {
 	l, err = net.Listen("tcp", address.String())
 	if err != nil {
-		return nil, fmt.Errorf("listen on %s: %w", address, err)
+		return nil, merry.Prependf(err, "listen on %s", address)
 	}
 	return l, nil
 }
--- a/internal/process/node/node_configuration_peers.go
+++ b/internal/process/node/node_configuration_peers.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
@@ -23,7 +24,7 @@
 )
 
 // errRestart asks for a new stream from the same peer.
-var errRestart = errors.New("the stream has to begin again")
+var errRestart = merry.Sentinel("the stream has to begin again")
 
 // start learns of the newest revision that the service or a peer holds and puts it in force.
 func (f *follower) start(ctx context.Context) {
--- a/internal/process/node/node_configuration_read.go
+++ b/internal/process/node/node_configuration_read.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/revision"
 )
@@ -66,7 +68,7 @@
 func (f *follower) read(ctx context.Context, client *http.Client, wait time.Duration) (useful bool, err error) {
 	defer func() {
 		if err != nil {
-			err = fmt.Errorf("read the configuration service: %w", err)
+			err = merry.Prepend(err, "read the configuration service")
 		}
 	}()
 	_, position := f.current()
@@ -85,7 +87,7 @@
 		return true, nil
 	}
 	if response.StatusCode != http.StatusOK {
-		return false, fmt.Errorf("status %d", response.StatusCode)
+		return false, merry.Errorf("status %d", response.StatusCode)
 	}
 	data, err := io.ReadAll(io.LimitReader(response.Body, configuration.MaxSize+1))
 	if err != nil {
--- a/internal/process/node/node_instances.go
+++ b/internal/process/node/node_instances.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/ansel1/merry/v2"
 )
 
 const (
@@ -50,7 +52,7 @@
 func (n *Node) instances(ctx context.Context, client *http.Client) (list []instance, err error) {
 	defer func() {
 		if err != nil {
-			err = fmt.Errorf("read the list of instances: %w", err)
+			err = merry.Prepend(err, "read the list of instances")
 		}
 	}()
 	url := fmt.Sprintf("http://%s/v1/instances", n.Settings.Platform)
@@ -64,7 +66,7 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("status %d", response.StatusCode)
+		return nil, merry.Errorf("status %d", response.StatusCode)
 	}
 	err = json.NewDecoder(io.LimitReader(response.Body, instancesSize)).Decode(&list)
 	return list, err
--- a/internal/process/slotd/slotd_engine.go
+++ b/internal/process/slotd/slotd_engine.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/dragonflydeal/dragonflydeal/internal/core/slot"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
 )
@@ -32,7 +34,7 @@
 )
 
 // errEngineSilent reports an engine that stopped in the middle of an answer.
-var errEngineSilent = errors.New("the engine went silent in the middle of the answer")
+var errEngineSilent = merry.Sentinel("the engine went silent in the middle of the answer")
 
 // poll reads the engine's load reports until the context ends.
 func (p *Process) poll(ctx context.Context) {
--- a/internal/process/slotd/slotd_group.go
+++ b/internal/process/slotd/slotd_group.go
@@ -5,11 +5,12 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/dragonflydeal/dragonflydeal/internal/core/slot"
 	"github.com/dragonflydeal/dragonflydeal/internal/group/mapswitch"
 )
@@ -26,7 +27,7 @@
 )
 
 // errNoGroup reports an engine that has no part in any group.
-var errNoGroup = errors.New("the engine has no group interface")
+var errNoGroup = merry.Sentinel("the engine has no group interface")
 
 // groupReply is the engine's answer to a read or an order.
 type groupReply struct {
@@ -98,7 +99,7 @@
 func (p *Process) askGroup(ctx context.Context, method string, body []byte, limit time.Duration) (reply *groupReply, err error) {
 	defer func() {
 		if err != nil {
-			err = fmt.Errorf("group interface: %w", err)
+			err = merry.Prepend(err, "group interface")
 		}
 	}()
 	ctx, cancel := context.WithTimeout(ctx, limit)
@@ -118,7 +119,7 @@
 		return nil, errNoGroup
 	}
 	if response.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("status %d", response.StatusCode)
+		return nil, merry.Errorf("status %d", response.StatusCode)
 	}
 	reply = &groupReply{}
 	return reply, json.NewDecoder(io.LimitReader(response.Body, groupSize)).Decode(reply)
--- a/internal/request/key/key.go
+++ b/internal/request/key/key.go
@@ -4,11 +4,10 @@
 import (
 	"encoding/base64"
 	"encoding/binary"
-	"errors"
-	"fmt"
 	"strings"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -29,7 +28,7 @@
 )
 
 // ErrFormat reports text that is not a key of this system.
-var ErrFormat = errors.New("not a key of this system")
+var ErrFormat = merry.Sentinel("not a key of this system")
 
 // Key identifies one non-idempotent call.
 type Key struct {
@@ -81,7 +80,7 @@
 func Parse(text string) (k Key, err error) {
 	defer func() {
 		if err != nil {
-			err = fmt.Errorf("parse idempotency key: %w", err)
+			err = merry.Prepend(err, "parse idempotency key")
 		}
 	}()
 	coded, ok := strings.CutPrefix(text, Prefix)
--- a/internal/trial/site/site.go
+++ b/internal/trial/site/site.go
@@ -3,8 +3,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -13,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
@@ -30,7 +29,7 @@
 const readyTimeout = 20 * time.Second
 
 // ErrNotReady reports a site whose entries did not all see all targets in time.
-var ErrNotReady = errors.New("the site is not ready in time")
+var ErrNotReady = merry.Sentinel("the site is not ready in time")
 
 // Site is a running site.
 type Site struct {
@@ -113,7 +112,7 @@
 	go s.group.Run(steps)
 	if err := s.build(); err != nil {
 		s.Close()
-		return nil, fmt.Errorf("build the site: %w", err)
+		return nil, merry.Prepend(err, "build the site")
 	}
 	if err := s.publish(func(*configuration.Configuration) {}); err != nil {
 		s.Close()
@@ -124,7 +123,7 @@
 	}
 	if err := s.await(ctx, s.serving); err != nil {
 		s.Close()
-		return nil, fmt.Errorf("start the site: %w", err)
+		return nil, merry.Prepend(err, "start the site")
 	}
 	return s, nil
 }
@@ -179,10 +178,10 @@
 	s.configuration.Revision++
 	data, err := s.configuration.Encode()
 	if err != nil {
-		return fmt.Errorf("publish: %w", err)
+		return merry.Prepend(err, "publish")
 	}
 	if _, err := configuration.Parse(data); err != nil {
-		return fmt.Errorf("publish: %w", err)
+		return merry.Prepend(err, "publish")
 	}
 	s.published = time.Now()
 	s.platform.Publish(s.configuration.Revision, data)
--- a/internal/trial/site/site_build.go
+++ b/internal/trial/site/site_build.go
@@ -8,6 +8,8 @@
 	"os"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/settings"
 	"github.com/dragonflydeal/dragonflydeal/internal/trial/engine"
@@ -162,7 +164,7 @@
 		addresses = append(addresses, address)
 	}
 	if len(addresses) < count {
-		return nil, fmt.Errorf("find free ports: %w", err)
+		return nil, merry.Prepend(err, "find free ports")
 	}
 	return addresses, nil
 }
--- a/internal/trial/site/stay.go
+++ b/internal/trial/site/stay.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/settings"
 )
 
@@ -12,7 +14,7 @@
 func Stay(ctx context.Context, o Options, out io.Writer) (err error) {
 	s, err := New(ctx, o)
 	if err != nil {
-		return fmt.Errorf("trial: %w", err)
+		return merry.Prepend(err, "trial")
 	}
 	defer s.Close()
 	for _, line := range s.Hints() {
--- a/internal/trial/site/trial.go
+++ b/internal/trial/site/trial.go
@@ -7,13 +7,15 @@
 	"io"
 	"sync"
 	"time"
+
+	"github.com/ansel1/merry/v2"
 )
 
 // Run starts a site, runs all steps under load and returns what held and the measures.
 func Run(ctx context.Context, o Options, progress io.Writer) (r *Report, err error) {
 	defer func() {
 		if err != nil {
-			err = fmt.Errorf("trial: %w", err)
+			err = merry.Prepend(err, "trial")
 		}
 	}()
 	began := time.Now()
@@ -100,7 +102,7 @@
 	callers := t.site.startLoad(work, t.ledger)
 	for _, v := range steps {
 		if failed := v.run(t, ctx); failed != nil {
-			err = errors.Join(err, fmt.Errorf("step %s: %w", v.name, failed))
+			err = errors.Join(err, merry.Prependf(failed, "step %s", v.name))
 			break
 		}
 	}
