Deal slots out evenly to the entries that pass configuration on to nobody else

Change: the slots of a data centre, in the order of their hashes, are dealt out to the entries at the leaves of the tree; a slot whose entry fails takes another by its own hash, and the others stay. Loops at intervals and pauses, written eight times, are two functions of the node. Stops under a power loan are cases of TestPowerCap.

--- a/internal/fleet/revision/revision_source.go
+++ b/internal/fleet/revision/revision_source.go
@@ -68,7 +68,7 @@
 }
 
 // Plan returns the present sources. Entries of a data centre form a tree with the watchers at its top;
-// watchers follow another data centre; slots follow an entry of their own.
+// watchers follow another data centre; slots follow an entry of their own that no entry follows.
 func (s *Sources) Plan(now time.Time, c *configuration.Configuration) Plan {
 	if c == nil {
 		return Plan{Watch: true}
@@ -81,11 +81,40 @@
 	case rank >= 0:
 		return Plan{Watch: true, Parent: s.abroad(now, c, rank)}
 	case len(own) > 0:
-		return Plan{Parent: find(c, rendezvous.Order(s.name, own)[0])}
+		return Plan{Parent: find(c, s.leaf(now, c, own))}
 	}
 	return Plan{Watch: s.configured(c), Parent: s.abroad(now, c, 0)}
 }
 
+// inner returns the number of a data centre's entries that other entries of it follow.
+// Slots follow the rest, so that no entry carries both.
+func inner(entries int) int {
+	return max(0, (entries-watchers+degree-1)/degree)
+}
+
+// leaf returns the entry that a slot follows. The slots of a data centre, in the order of their hashes,
+// are dealt out evenly; one whose entry is passed over chooses another by its own hash.
+func (s *Sources) leaf(now time.Time, c *configuration.Configuration, usable []string) string {
+	var entries, slots []string
+	for _, e := range c.Entries {
+		if e.Centre == s.centre {
+			entries = append(entries, e.Name)
+		}
+	}
+	for _, t := range c.Targets {
+		if t.Centre == s.centre {
+			slots = append(slots, t.Name)
+		}
+	}
+	if i := slices.Index(rendezvous.Order(s.centre, slots), s.name); i >= 0 {
+		leaves := rendezvous.Order(s.centre, entries)[inner(len(entries)):]
+		if name := leaves[i*len(leaves)/len(slots)]; s.usable(now, name) {
+			return name
+		}
+	}
+	return rendezvous.Order(s.name, usable[inner(len(usable)):])[0]
+}
+
 // configured reports whether the process is an entry of the configuration.
 func (s *Sources) configured(c *configuration.Configuration) bool {
 	return find(c, s.name) != nil
--- a/internal/fleet/revision/revision_test.go
+++ b/internal/fleet/revision/revision_test.go
@@ -269,3 +269,30 @@
 		b.ReportMetric(float64(len(base.Data)), "bytes/value")
 	}
 }
+
+// TestSlotsAreDealtEvenly counts the slots that follow each entry, before and after one entry is lost.
+func TestSlotsAreDealtEvenly(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	c := fleet(1, 30, 200)
+	var lost string
+	before := map[string]string{}
+	followers := map[string]int{}
+	for _, v := range c.Targets {
+		lost = NewSources(v.Name, v.Centre).Plan(now, c).Parent.Name
+		before[v.Name] = lost
+		followers[lost]++
+	}
+	leaves := len(c.Entries) - inner(len(c.Entries))
+	is.Equal(len(followers), leaves)
+	for _, count := range followers {
+		is.True(count == len(c.Targets)/leaves || count == len(c.Targets)/leaves+1)
+	}
+	for _, v := range c.Targets {
+		s := NewSources(v.Name, v.Centre)
+		s.Fail(now, lost)
+		after := s.Plan(now, c).Parent.Name
+		is.True(after != lost)
+		is.True(before[v.Name] == lost || after == before[v.Name]) // the others stay where they are
+	}
+}
--- a/internal/process/entryd/entryd.go
+++ b/internal/process/entryd/entryd.go
@@ -99,7 +99,7 @@
 	group.Go(func() error { return p.ServeHTTP(work, operators, p.Operators(p.probes())) })
 	group.Go(func() error { return p.ServeHTTP(work, callers, p.turnAway(p.callers())) })
 	group.Go(func() error { p.Follow(work, p.accept); return nil })
-	group.Go(func() error { p.tick(work); return nil })
+	group.Go(func() error { node.Every(work, tickInterval, p.tick); return nil })
 	group.Go(func() error { p.exchangeAll(work); return nil })
 	group.Go(func() error { p.claimAll(work); return nil })
 	group.Go(func() error { p.ReadInstances(work, p.hint); return nil })
@@ -132,17 +132,8 @@
 	p.handle(entry.Event{Configuration: c})
 }
 
-func (p *Process) tick(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			p.handle(entry.Event{Tick: &entry.Tick{}})
-		}
-	}
+func (p *Process) tick() {
+	p.handle(entry.Event{Tick: &entry.Tick{}})
 }
 
 // handle passes an event to the core and does what it wants done.
--- a/internal/process/entryd/entryd_peers.go
+++ b/internal/process/entryd/entryd_peers.go
@@ -7,6 +7,7 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/core/entry"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/membership"
+	"github.com/dragonflydeal/dragonflydeal/internal/process/node"
 	"github.com/dragonflydeal/dragonflydeal/internal/wire/message"
 )
 
@@ -66,12 +67,7 @@
 		if partner != nil {
 			p.handle(entry.Event{Peer: &entry.Peer{Name: partner.Name, Alive: p.swap(ctx, partner) == nil}})
 		}
-		timer := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-		case <-timer.C:
-		}
+		node.Pause(ctx, wait)
 	}
 }
 
--- a/internal/process/entryd/entryd_shares.go
+++ b/internal/process/entryd/entryd_shares.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/core/entry"
+	"github.com/dragonflydeal/dragonflydeal/internal/process/node"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/limit"
 	"github.com/dragonflydeal/dragonflydeal/internal/wire/message"
 )
@@ -20,20 +21,13 @@
 
 // claimAll tells the owners of workspaces the demand here until the context ends.
 func (p *Process) claimAll(ctx context.Context) {
-	ticker := time.NewTicker(limit.Interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	node.Every(ctx, limit.Interval, func() {
 		var group sync.WaitGroup
 		for _, c := range p.claims() {
 			group.Go(func() { p.claim(ctx, c) })
 		}
 		group.Wait()
-	}
+	})
 }
 
 func (p *Process) claims() []entry.Claim {
--- a/internal/process/entryd/entryd_slots.go
+++ b/internal/process/entryd/entryd_slots.go
@@ -9,6 +9,7 @@
 	"storj.io/drpc"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/core/entry"
+	"github.com/dragonflydeal/dragonflydeal/internal/process/node"
 	"github.com/dragonflydeal/dragonflydeal/internal/wire/message"
 )
 
@@ -122,12 +123,7 @@
 		if err := p.beats(ctx, address); err != nil {
 			p.Log.Debug("heartbeats", "address", address, "error", err)
 		}
-		timer := time.NewTimer(time.Duration(p.Settings.Beat))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-		case <-timer.C:
-		}
+		node.Pause(ctx, time.Duration(p.Settings.Beat))
 	}
 }
 
--- a/internal/process/entryd/entryd_stop.go
+++ b/internal/process/entryd/entryd_stop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/core/entry"
+	"github.com/dragonflydeal/dragonflydeal/internal/process/node"
 )
 
 // await stops the core when asked to and returns when all answers were written or the stop limit is over.
@@ -30,14 +31,8 @@
 
 // written waits until the ends of all answers were written to their callers.
 func (p *Process) written(limit context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for p.pending() > 0 {
-		select {
-		case <-limit.Done():
-			return
-		case <-ticker.C:
-		}
+	for p.pending() > 0 && limit.Err() == nil {
+		node.Pause(limit, tickInterval)
 	}
 }
 
--- a/internal/process/node/node_configuration.go
+++ b/internal/process/node/node_configuration.go
@@ -157,13 +157,3 @@
 	defer f.mu.Unlock()
 	f.book.Hear(f.node.Now(), age)
 }
-
-// pause waits for a time or the end of the context.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/process/node/node_configuration_peers.go
+++ b/internal/process/node/node_configuration_peers.go
@@ -40,7 +40,7 @@
 		}
 		f.settle(false)
 		for ctx.Err() == nil && !f.due() {
-			pause(ctx, planInterval)
+			Pause(ctx, planInterval)
 		}
 	}
 }
@@ -103,7 +103,7 @@
 	for ctx.Err() == nil {
 		parent := f.plan().Parent
 		if parent == nil {
-			pause(ctx, planInterval)
+			Pause(ctx, planInterval)
 			continue
 		}
 		err := f.listen(ctx, parent.Address, func() bool { return f.stays(parent) })
--- a/internal/process/node/node_configuration_read.go
+++ b/internal/process/node/node_configuration_read.go
@@ -30,7 +30,7 @@
 	client := f.node.newClient()
 	for ctx.Err() == nil {
 		if !f.due() {
-			pause(ctx, planInterval)
+			Pause(ctx, planInterval)
 			continue
 		}
 		useful, err := f.read(ctx, client, watchWait)
--- a/internal/process/node/node_instances.go
+++ b/internal/process/node/node_instances.go
@@ -32,7 +32,7 @@
 func (n *Node) ReadInstances(ctx context.Context, leaving func(name string)) {
 	client := n.newClient()
 	for ctx.Err() == nil {
-		pause(ctx, instancesInterval)
+		Pause(ctx, instancesInterval)
 		if !n.follower.plan().Watch {
 			continue
 		}
--- a/internal/process/slotd/slotd.go
+++ b/internal/process/slotd/slotd.go
@@ -95,9 +95,9 @@
 	group.Go(func() error { return p.ServePeers(work, peers) })
 	group.Go(func() error { return p.ServeHTTP(work, operators, p.Operators(p.probes())) })
 	group.Go(func() error { p.Follow(work, p.accept); return nil })
-	group.Go(func() error { p.tick(work); return nil })
-	group.Go(func() error { p.poll(work); return nil })
-	group.Go(func() error { p.watchGroup(work); return nil })
+	group.Go(func() error { node.Every(work, tickInterval, p.tick); return nil })
+	group.Go(func() error { node.Every(work, pollInterval, func() { p.poll(work) }); return nil })
+	group.Go(func() error { node.Every(work, groupInterval, func() { p.readGroup(work) }); return nil })
 	group.Go(func() error {
 		defer cancel()
 		return p.await(ctx, work)
@@ -127,17 +127,8 @@
 	p.handle(slot.Event{Configuration: c})
 }
 
-func (p *Process) tick(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			p.handle(slot.Event{Tick: &slot.Tick{}})
-		}
-	}
+func (p *Process) tick() {
+	p.handle(slot.Event{Tick: &slot.Tick{}})
 }
 
 // handle passes an event to the core and does what it wants done.
--- a/internal/process/slotd/slotd_engine.go
+++ b/internal/process/slotd/slotd_engine.go
@@ -36,26 +36,16 @@
 // errEngineSilent reports an engine that stopped in the middle of an answer.
 var errEngineSilent = merry.Sentinel("the engine went silent in the middle of the answer")
 
-// poll reads the engine's load reports until the context ends.
+// poll reads the engine's load report once.
 func (p *Process) poll(ctx context.Context) {
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
-	for {
-		report := p.read(ctx)
-		if !report.Alive {
-			// The connection may have gone silent while new ones work.
-			p.client.CloseIdleConnections()
-			report = p.read(ctx)
-		}
-		if ctx.Err() != nil {
-			return
-		}
+	report := p.read(ctx)
+	if !report.Alive {
+		// The connection may have gone silent while new ones work.
+		p.client.CloseIdleConnections()
+		report = p.read(ctx)
+	}
+	if ctx.Err() == nil {
 		p.handle(slot.Event{Report: report})
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
 	}
 }
 
--- a/internal/process/slotd/slotd_group.go
+++ b/internal/process/slotd/slotd_group.go
@@ -41,26 +41,16 @@
 	Refusal string `json:"refusal"`
 }
 
-// watchGroup reads the engine's part in its group until the context ends.
-func (p *Process) watchGroup(ctx context.Context) {
-	ticker := time.NewTicker(groupInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		if !p.grouped() {
-			continue
-		}
-		reply, err := p.askGroup(ctx, http.MethodGet, nil, orderTimeout)
-		if errors.Is(err, errNoGroup) {
-			p.handle(slot.Event{Group: &slot.GroupReport{Absent: true}})
-		}
-		if err != nil {
-			continue
-		}
+// readGroup reads the engine's part in its group once.
+func (p *Process) readGroup(ctx context.Context) {
+	if !p.grouped() {
+		return
+	}
+	reply, err := p.askGroup(ctx, http.MethodGet, nil, orderTimeout)
+	switch {
+	case errors.Is(err, errNoGroup):
+		p.handle(slot.Event{Group: &slot.GroupReport{Absent: true}})
+	case err == nil:
 		p.handle(slot.Event{Group: &slot.GroupReport{Engine: reply.Engine, Plan: reply.Plan, Loads: reply.Loads}})
 	}
 }
--- a/internal/proof/failure/power_test.go
+++ b/internal/proof/failure/power_test.go
@@ -151,6 +151,8 @@
 			s.processes["desk-c1-0"].kill()
 			s.processes["desk-c1-0"].start()
 		}},
+		{"lender stopped and replaced", func(s *site) { s.replace("hold-c1-0") }},
+		{"borrower stopped and replaced", func(s *site) { s.replace("desk-c1-0") }},
 		{"connections silent", func(s *site) {
 			for _, name := range []string{"hold-c1-0", "hold-c1-1", "desk-c1-0"} {
 				s.network.silence(s.processes[name].settings.Listen)
@@ -183,6 +185,16 @@
 	}
 }
 
+// replace stops a process as planned and starts it again.
+func (s *site) replace(name string) {
+	s.t.Helper()
+	p := s.processes[name]
+	if code := p.stop(); code != 0 {
+		s.t.Errorf("%s exits with %d", name, code)
+	}
+	p.start()
+}
+
 // awaitReturned waits until all power is with its owner again.
 func (s *site) awaitReturned() {
 	s.t.Helper()
