--- a/internal/core/slot/slot_crash_test.go
+++ b/internal/core/slot/slot_crash_test.go
@@ -112,3 +112,27 @@
 	later := start.Add(suspect.Term)
 	is.Equal(runs(c.Handle(later, arrival("later", 9, false))), []string{"later"})
 }
+
+// TestDeathDoesNotUndoAStop lets the engine of a leaving slot die and come back.
+func TestDeathDoesNotUndoAStop(t *testing.T) {
+	is := is.New(t)
+	c := newServing(4)
+	c.Handle(start, arrival("1", 1, false))
+	c.Handle(start, Event{Stop: &Stop{}})
+	actions := c.Handle(start, crashed("1"))
+	for _, a := range actions {
+		if a.Chunk != nil {
+			c.Handle(start, Event{Detach: &Detach{ID: "1", Stream: a.Chunk.Stream}})
+		}
+	}
+	for range revivalReports + 1 {
+		c.Handle(start, Event{Report: &Report{Alive: true}})
+	}
+	is.Equal(c.Status(start).State, membership.StateLeaving)
+	is.True(!c.Ready())
+	exit := false
+	for _, a := range c.Handle(start.Add(DefaultLimits.Announce), Event{Tick: &Tick{}}) {
+		exit = exit || a.Exit != nil
+	}
+	is.True(exit)
+}
