Run each size of the configuration call test in a subtest of its own

Cause: TestConfigurationCalls started three sites in one test, and each took places of the machine's semaphore until the end of the test: on 6 cores it held 12 of 18 and waited for 16 more, for ever. Ruled out: a leak of places in other tests (each takes them once). Now each site has a subtest, and a test that would wait for places that it or its parent holds fails at once.

--- a/internal/proof/failure/configuration_test.go
+++ b/internal/proof/failure/configuration_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -303,16 +304,15 @@
 	const span = 4 * time.Second
 	var calls, processes []int
 	for _, entries := range []int{2, 4, 8} {
-		s := newSite(t, siteOptions{centres: 1, entries: entries, engines: entries})
-		// Processes that started before the first watcher have read the service themselves.
-		time.Sleep(time.Second)
-		before := s.platform.Calls()
-		time.Sleep(span)
-		calls = append(calls, s.platform.Calls()-before)
-		processes = append(processes, len(s.processes))
-		for _, p := range s.processes {
-			p.kill()
-		}
+		t.Run(strconv.Itoa(entries), func(t *testing.T) {
+			s := newSite(t, siteOptions{centres: 1, entries: entries, engines: entries})
+			// Processes that started before the first watcher have read the service themselves.
+			time.Sleep(time.Second)
+			before := s.platform.Calls()
+			time.Sleep(span)
+			calls = append(calls, s.platform.Calls()-before)
+			processes = append(processes, len(s.processes))
+		})
 	}
 	t.Logf("processes %v calls in %v %v", processes, span, calls)
 	// The two watchers make one call a second each, whatever the size.
--- a/internal/proof/failure/site_test.go
+++ b/internal/proof/failure/site_test.go
@@ -16,8 +16,6 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/settings"
 	"github.com/dragonflydeal/dragonflydeal/internal/operator/commands"
@@ -112,17 +110,7 @@
 // the processes wait for a core longer than the silence that the tests have set.
 var machineRoom = 3 * runtime.GOMAXPROCS(0)
 
-var room = semaphore.NewWeighted(int64(machineRoom))
-
-// occupy takes room for a number of processes until the end of the test.
-func occupy(t *testing.T, processes int) {
-	t.Helper()
-	weight := int64(min(processes, machineRoom))
-	if err := room.Acquire(t.Context(), weight); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { room.Release(weight) })
-}
+var room = newRoom(int64(machineRoom))
 
 // prepareSite makes the stand-ins, the settings and the configuration, and starts no process.
 func prepareSite(t *testing.T, o siteOptions) *site {
@@ -133,7 +121,9 @@
 	if o.step == 0 {
 		o.step = 2 * time.Millisecond
 	}
-	occupy(t, o.centres*(o.entries+o.engines+o.services))
+	if err := room.occupy(t, o.centres*(o.entries+o.engines+o.services)); err != nil {
+		t.Fatal(err)
+	}
 	s := &site{
 		t: t, options: o, platform: platform.New(), network: newNetwork(), dir: t.TempDir(), number: siteCount.Add(1),
 		processes: map[string]*process{}, engines: map[string]*engine.Engine{}, services: map[string]*service.Service{},
