Run on the users' platform: entries that call targets, slots that switch expert maps by hold

platform/ holds names, formats and calls. New in the product: direct targets with retries and seats (internal/edge), the map switch for engines that hold the whole group (internal/group/hold), maps for each set of layers (internal/group/load, balance.Relieve), and the processes gateway and sidecar, which talk by datagrams.

--- /dev/null
+++ b/internal/group/hold/attempt.go
@@ -0,0 +1,68 @@
+package hold
+
+import "cmp"
+
+// Phase is what a lead wants of the ranks; within an attempt it only rises.
+type Phase int
+
+// The phases of an attempt.
+const (
+	// PhaseNone means that no attempt is known.
+	PhaseNone Phase = iota
+	// PhasePrepare copies the new map.
+	PhasePrepare
+	// PhaseArm arms the ranks for the step that the lead's engine holds.
+	PhaseArm
+	// PhaseSettle makes the ranks stop what they did for earlier attempts and report.
+	PhaseSettle
+	// PhaseAbort disarms the ranks.
+	PhaseAbort
+	// PhaseRest ends the attempt.
+	PhaseRest
+)
+
+// Ballot orders attempts.
+type Ballot struct {
+	// Number rises with each attempt that a lead knows of.
+	Number uint64
+	// Lead is the incarnation of the lead's slot.
+	Lead uint64
+}
+
+// Compare orders ballots.
+func (b Ballot) Compare(c Ballot) int {
+	return cmp.Or(cmp.Compare(b.Number, c.Number), cmp.Compare(b.Lead, c.Lead))
+}
+
+// Attempt is a lead's attempt at a switch, as all ranks follow it.
+type Attempt struct {
+	Ballot
+	Group string
+	Epoch uint64
+	Phase Phase
+	// Version is that of the new map.
+	Version uint64
+	// Step is the step that is held, from PhaseArm on.
+	Step uint64
+	// Map is known in PhasePrepare.
+	Map [][][]int
+}
+
+// State is what a slot tells the other slots of its rank.
+type State struct {
+	Group string
+	Epoch uint64
+	Rank  int
+	Size  int
+	Open  bool
+	Step  uint64
+	// Map, Prepared, Armed, At and Held are as in Engine.
+	Map, Prepared, Armed, At, Held uint64
+	// Clean tells that no order of the slot, or of its predecessor, can still be carried out.
+	Clean bool
+	// Ballot and Phase are those of the attempt that the slot follows.
+	Ballot Ballot
+	Phase  Phase
+	// Refused tells that the engine refused what the attempt wants.
+	Refused bool
+}
--- /dev/null
+++ b/internal/group/hold/lead.go
@@ -0,0 +1,249 @@
+package hold
+
+import (
+	"time"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/base/chart"
+)
+
+// lead is the part of rank 0's slot.
+type lead struct {
+	// state is a state of the lead chart.
+	state chart.State
+	// attempt is published while state is not resting, and after that in PhaseRest.
+	attempt Attempt
+	// step is the step to hold, or zero until it is chosen.
+	step uint64
+	// due is when the present state is given up.
+	due time.Time
+}
+
+// Leads reports whether this slot is the one that begins switches.
+func (c *Core) Leads() bool {
+	return c.known && c.engine.Rank == 0 && c.engine.Group != ""
+}
+
+// Ready reports whether a switch may begin: all ranks are at rest, under the same map.
+func (c *Core) Ready(now time.Time) bool {
+	if !c.Leads() || c.lead.state != stateResting || !c.engine.Open {
+		return false
+	}
+	return c.all(now, func(s State) bool {
+		return s.Open && s.Clean && s.Armed == 0 && s.Held == 0 && s.Map == c.engine.Map
+	})
+}
+
+// all reports whether every rank told lately that a condition holds.
+func (c *Core) all(now time.Time, condition func(State) bool) bool {
+	for rank := range c.engine.Size {
+		h, ok := c.ranks[rank]
+		if !ok || now.Sub(h.at) > stateAge || !condition(h.State) {
+			return false
+		}
+	}
+	return c.engine.Size > 0
+}
+
+// followed reports whether a rank follows the lead's attempt in its present phase.
+func (c *Core) followed(s State) bool {
+	return s.Ballot == c.lead.attempt.Ballot && s.Phase == c.lead.attempt.Phase
+}
+
+// Begin starts a switch to a new map, by set and rank, and reports whether it could.
+func (c *Core) Begin(now time.Time, sets [][][]int) bool {
+	if !c.Ready(now) {
+		return false
+	}
+	version := c.newVersion(now)
+	c.move("begin")
+	c.publish(Attempt{Phase: PhasePrepare, Version: version, Map: sets})
+	c.lead.step, c.lead.due = 0, now.Add(prepareTime)
+	c.note("begin", "")
+	return true
+}
+
+// publish starts a new attempt of the lead, above all others.
+func (c *Core) publish(a Attempt) {
+	c.highest++
+	a.Ballot = Ballot{Number: c.highest, Lead: c.incarnation}
+	a.Group, a.Epoch = c.engine.Group, c.engine.Epoch
+	c.lead.attempt = a
+	c.follow(&a)
+}
+
+// advance moves the lead's attempt to its next phase.
+func (c *Core) advance(p Phase) {
+	c.lead.attempt.Phase = p
+	if p != PhasePrepare {
+		c.lead.attempt.Map = nil
+	}
+	a := c.lead.attempt
+	c.follow(&a)
+}
+
+// Published returns the attempt that the other ranks must know, or nil.
+func (c *Core) Published() *Attempt {
+	if c.lead.attempt.Phase == PhaseNone {
+		return nil
+	}
+	a := c.lead.attempt
+	return &a
+}
+
+func (c *Core) move(signal chart.Signal) {
+	next, err := leadChart.Next(c.lead.state, signal)
+	if err != nil {
+		panic(err)
+	}
+	c.lead.state = next
+}
+
+// endLead ends the attempt; nothing is armed or held any more, or the group has formed anew.
+func (c *Core) endLead(reason string) {
+	if c.lead.state == stateResting {
+		return
+	}
+	c.move("end")
+	c.advance(PhaseRest)
+	c.note("end", reason)
+}
+
+// step moves the lead on as far as the ranks' states allow.
+func (c *Core) step(now time.Time) {
+	if !c.Leads() {
+		c.endLead("another rank leads")
+		return
+	}
+	c.ranks[c.engine.Rank] = heard{State: c.State(now), at: now}
+	c.outbid()
+	switch c.lead.state {
+	case stateResting:
+		c.find()
+	case statePreparing:
+		c.stepPreparing(now)
+	case stateHolding:
+		c.stepHolding(now)
+	case stateArming:
+		c.stepArming(now)
+	case stateSettling:
+		c.stepSettling(now)
+	case stateAborting:
+		c.stepAborting(now)
+	case stateReleasing:
+		if c.engine.Held == 0 && c.inflight == nil {
+			c.endLead("released")
+		}
+	}
+}
+
+// outbid raises the number of an attempt that must be followed, when a higher one was heard since.
+func (c *Core) outbid() {
+	must := c.lead.state == stateSettling || c.lead.state == stateAborting
+	if must && c.highest > c.lead.attempt.Number {
+		c.publish(c.lead.attempt)
+	}
+}
+
+// find takes up a hold that an earlier process of this slot left behind.
+func (c *Core) find() {
+	if c.engine.Held == 0 || c.inflight != nil {
+		return
+	}
+	c.move("found")
+	c.lead.step = c.engine.Held
+	c.publish(Attempt{Phase: PhaseSettle, Step: c.engine.Held})
+	c.note("settle", "the engine holds and no attempt is in progress")
+}
+
+func (c *Core) stepPreparing(now time.Time) {
+	version := c.lead.attempt.Version
+	switch {
+	case c.engine.Held != 0:
+		c.endLead("an order of an earlier attempt was carried out")
+	case c.all(now, func(s State) bool { return c.followed(s) && s.Prepared == version }):
+		c.move("all")
+		c.lead.step, c.lead.due = 0, now.Add(armTime)
+	case now.After(c.lead.due):
+		c.endLead("not all ranks prepared in time")
+	case c.any(func(s State) bool { return c.followed(s) && s.Refused }):
+		c.endLead("a rank refused to prepare")
+	}
+}
+
+func (c *Core) any(condition func(State) bool) bool {
+	for _, h := range c.ranks {
+		if condition(h.State) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) stepHolding(now time.Time) {
+	switch {
+	case c.engine.Held != 0 && c.inflight == nil:
+		c.move("held")
+		c.lead.step = c.engine.Held
+		c.lead.attempt.Step = c.engine.Held
+		c.lead.due = now.Add(armTime)
+		c.advance(PhaseArm)
+	case now.After(c.lead.due):
+		// A hold that is carried out late is found and released.
+		c.endLead("the engine did not hold in time")
+	}
+}
+
+func (c *Core) stepArming(now time.Time) {
+	a := c.lead.attempt
+	switch {
+	case c.all(now, func(s State) bool { return c.followed(s) && s.Armed == a.Version && s.At == a.Step }):
+		c.move("all")
+		c.note("release", "all ranks are armed")
+	case now.After(c.lead.due), c.any(func(s State) bool { return c.followed(s) && s.Refused }):
+		c.abort("not all ranks armed")
+	}
+}
+
+// stepSettling releases a hold that was found. A lead releases an attempt only when all ranks are armed, and gives up
+// only while some rank is not. So one rank that is not armed proves that no release is on its way, and silence proves nothing.
+func (c *Core) stepSettling(now time.Time) {
+	version := c.engine.Armed
+	switch {
+	case version != 0 && c.all(now, func(s State) bool { return c.followed(s) && s.Armed == version && s.At == c.lead.step }):
+		c.move("all")
+		c.note("release", "all ranks are armed")
+	case c.engine.Armed == 0, c.any(func(s State) bool { return c.followed(s) && s.Armed != version }):
+		c.abort("not all ranks are armed")
+	}
+}
+
+func (c *Core) abort(reason string) {
+	c.move("failed")
+	c.advance(PhaseAbort)
+	c.note("abort", reason)
+}
+
+func (c *Core) stepAborting(now time.Time) {
+	if c.all(now, func(s State) bool { return c.followed(s) && s.Clean && s.Armed == 0 }) {
+		c.move("all")
+		c.note("release", "no rank is armed")
+	}
+}
+
+// wantedLead returns the order that the lead's part wants of the own engine.
+func (c *Core) wantedLead() *Order {
+	switch c.lead.state {
+	case stateHolding:
+		if c.engine.Held == 0 {
+			if c.lead.step == 0 {
+				c.lead.step = c.engine.Step + margin
+			}
+			return c.order(Order{Kind: OrderHold, Step: c.lead.step})
+		}
+	case stateReleasing:
+		if c.engine.Held != 0 {
+			return c.order(Order{Kind: OrderGo, Step: c.engine.Held})
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/group/load/load.go
@@ -0,0 +1,211 @@
+// Package load follows which experts a group's requests choose, and plans the maps of all sets of layers.
+package load
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/fleet/site"
+	"github.com/dragonflydeal/dragonflydeal/internal/group/balance"
+	"github.com/dragonflydeal/dragonflydeal/internal/group/hold"
+)
+
+// Tally turns an engine's running totals into what is new. The zero value is ready.
+type Tally struct {
+	// epoch and totals are those of the newest reading.
+	epoch  uint64
+	totals []uint64
+	// fresh is what was counted and not taken yet.
+	fresh []uint32
+}
+
+// Add takes a reading. Totals that fall are those of a restarted engine.
+func (t *Tally) Add(c hold.Counts) {
+	if len(t.fresh) != len(c.Chosen) {
+		t.fresh = make([]uint32, len(c.Chosen))
+	}
+	if len(t.totals) == len(c.Chosen) && t.epoch == c.Epoch {
+		for i, total := range c.Chosen {
+			if total > t.totals[i] {
+				t.fresh[i] += uint32(total - t.totals[i])
+			}
+		}
+	}
+	t.epoch, t.totals = c.Epoch, c.Chosen
+}
+
+// Take returns what was counted since the last call, set after set, and forgets it.
+func (t *Tally) Take() []uint32 {
+	fresh := t.fresh
+	t.fresh = make([]uint32, len(fresh))
+	return fresh
+}
+
+const (
+	// halfLife is the age at which a count weighs half: demand shifts every few seconds and must be followed at once.
+	halfLife = 300 * time.Millisecond
+	// fewest is the weight of counts, for each expert of a set, below which chance decides what is seen.
+	fewest = 20
+	// horizon is the time for which a map is expected to fit: demand shifts every three seconds or so.
+	horizon = 2 * time.Second
+	// copyPrice is the time of the whole group's work that loading one expert is worth.
+	copyPrice = 4 * time.Millisecond
+	// leastGain is the part of a pass that a switch must save, so that noise moves nothing.
+	leastGain = 0.04
+	// pause is the shortest time between two switches.
+	pause = 300 * time.Millisecond
+)
+
+// Planner decides when a group changes its maps. It is not safe for concurrent use.
+type Planner struct {
+	site.Experts
+	// loads are faded counts by set and expert.
+	loads [][]float64
+	// faded is when loads were faded last.
+	faded time.Time
+	// ranks are the experts that each rank holds, as told in an epoch.
+	ranks map[int]holding
+	// begun is the time of the newest decision to switch.
+	begun time.Time
+}
+
+type holding struct {
+	hold.Held
+	epoch uint64
+}
+
+// Decision is a new map for all sets.
+type Decision struct {
+	// Map holds the experts by set and rank.
+	Map [][][]int
+	// Loaded is the number of experts that ranks load.
+	Loaded int
+	// Skew and Next are the time of a pass over that of an even group, before and after.
+	Skew, Next float64
+}
+
+// NewPlanner returns a Planner that has counted nothing.
+func NewPlanner(e site.Experts) *Planner {
+	p := &Planner{Experts: e, loads: make([][]float64, e.Sets), ranks: map[int]holding{}}
+	for s := range p.loads {
+		p.loads[s] = make([]float64, e.Count)
+	}
+	return p
+}
+
+// Count takes what a rank counted, set after set.
+func (p *Planner) Count(fresh []uint32) {
+	if len(fresh) != p.Sets*p.Experts.Count {
+		return
+	}
+	for i, n := range fresh {
+		p.loads[i/p.Experts.Count][i%p.Experts.Count] += float64(n)
+	}
+}
+
+// Hold takes the experts that a rank holds.
+func (p *Planner) Hold(rank int, epoch uint64, h hold.Held) {
+	p.ranks[rank] = holding{Held: h, epoch: epoch}
+}
+
+// Fade lets older counts weigh less.
+func (p *Planner) Fade(now time.Time) {
+	factor := math.Exp2(-now.Sub(p.faded).Seconds() / halfLife.Seconds())
+	p.faded = now
+	for _, set := range p.loads {
+		for e := range set {
+			set[e] *= factor
+		}
+	}
+}
+
+// placements returns the present maps by set, or nil while some rank's experts are not known.
+func (p *Planner) placements(epoch, version uint64, size int) (maps []*balance.Placement) {
+	for s := range p.Sets {
+		m := &balance.Placement{Ranks: make([][]int, size)}
+		for r := range size {
+			h, ok := p.ranks[r]
+			if !ok || h.epoch != epoch || h.Map != version || s >= len(h.Experts) {
+				return nil
+			}
+			m.Ranks[r] = h.Experts[s]
+		}
+		maps = append(maps, m)
+	}
+	return maps
+}
+
+// Decide returns new maps when their saving pays for the experts to load.
+func (p *Planner) Decide(now time.Time, epoch, version uint64, size int) (d Decision, ok bool) {
+	if now.Sub(p.begun) < pause {
+		return d, false
+	}
+	maps := p.placements(epoch, version, size)
+	if maps == nil {
+		return d, false
+	}
+	skew, next := 0.0, 0.0
+	for s, current := range maps {
+		loads := p.loads[s]
+		if sum(loads) < fewest*float64(p.Experts.Count) {
+			return d, false
+		}
+		o := balance.Relief{Places: p.Places, Fresh: p.Spare, Price: p.price()}
+		better, loaded := balance.Relieve(o, current, loads)
+		skew += balance.Skew(current.Times(loads, nil)) / float64(p.Sets)
+		next += balance.Skew(better.Times(loads, nil)) / float64(p.Sets)
+		d.Loaded += loaded
+		d.Map = append(d.Map, better.Ranks)
+	}
+	d.Skew, d.Next = p.pass(skew), p.pass(next)
+	if d.Loaded == 0 || (d.Skew-d.Next)/d.Skew < leastGain {
+		return d, false
+	}
+	p.begun = now
+	return d, true
+}
+
+// price returns the fall of a set's skew that pays for one loaded expert.
+func (p *Planner) price() float64 {
+	return copyPrice.Seconds() / horizon.Seconds() * float64(p.Sets) / p.Experts.Share
+}
+
+// pass returns the time of a pass over that of an even group, for a mean skew of the sets.
+func (p *Planner) pass(skew float64) float64 {
+	return 1 - p.Experts.Share + p.Experts.Share*skew
+}
+
+func sum(values []float64) (total float64) {
+	for _, v := range values {
+		total += v
+	}
+	return total
+}
+
+// Keep returns a map under which a rank keeps what it holds; the other ranks get the remaining experts in turn.
+// It returns nil where the remaining experts have no room.
+func Keep(e site.Experts, rank, size int, held [][]int) (sets [][][]int) {
+	for _, own := range held {
+		ranks := make([][]int, size)
+		ranks[rank] = own
+		next := 0
+		for expert := range e.Count {
+			if slices.Contains(own, expert) {
+				continue
+			}
+			if next%size == rank {
+				next++
+			}
+			ranks[next%size] = append(ranks[next%size], expert)
+			next++
+		}
+		for _, experts := range ranks {
+			if len(experts) > e.Places {
+				return nil
+			}
+		}
+		sets = append(sets, ranks)
+	}
+	return sets
+}
--- a/internal/operator/commands/processes.go
+++ b/internal/operator/commands/processes.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/settings"
 	"github.com/dragonflydeal/dragonflydeal/internal/process/entryd"
 	"github.com/dragonflydeal/dragonflydeal/internal/process/node"
@@ -15,7 +17,8 @@
 
 // process holds the arguments of the commands that run a process.
 type process struct {
-	Settings string `arg:"-s,--settings,required" placeholder:"SETTINGS" help:"settings file, JSON with comments"`
+	Settings string `arg:"-s,--settings" placeholder:"SETTINGS" help:"settings file, JSON with comments; the platform's own file with --platform"`
+	Platform bool   `arg:"--platform" help:"run on the users' platform, with the settings file that it names in the environment"`
 	Verbose  bool   `arg:"-v,--verbose" help:"log debug events too"`
 }
 
@@ -29,7 +32,10 @@
 	process
 }
 
-func (c *entryCommand) run(ctx context.Context, _, stderr io.Writer) error {
+func (c *entryCommand) run(ctx context.Context, stdout, stderr io.Writer) error {
+	if c.Platform {
+		return c.runGateway(ctx, stdout)
+	}
 	options, err := c.options(stderr, settings.RoleEntry)
 	if err != nil {
 		return err
@@ -37,7 +43,10 @@
 	return entryd.New(entryd.Options{Options: options, Random: source()}).Run(ctx)
 }
 
-func (c *slotCommand) run(ctx context.Context, _, stderr io.Writer) error {
+func (c *slotCommand) run(ctx context.Context, stdout, stderr io.Writer) error {
+	if c.Platform {
+		return c.runSidecar(ctx, stdout)
+	}
 	options, err := c.options(stderr, settings.RoleSlot)
 	if err != nil {
 		return err
@@ -47,6 +56,9 @@
 
 // options reads the settings and opens the log.
 func (c *process) options(stderr io.Writer, role settings.Role) (o node.Options, err error) {
+	if c.Settings == "" {
+		return node.Options{}, merry.New("--settings is required: name the settings file")
+	}
 	s, err := settings.Load(c.Settings, role)
 	if err != nil {
 		return node.Options{}, err
--- /dev/null
+++ b/internal/process/sidecar/sidecar.go
@@ -0,0 +1,213 @@
+// Package sidecar runs the slot beside an engine on a site whose platform owns the inventory:
+// it switches the expert map of the engine's rank together with the other slots of the group.
+package sidecar
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/edge/mesh"
+	"github.com/dragonflydeal/dragonflydeal/internal/fleet/site"
+	"github.com/dragonflydeal/dragonflydeal/internal/group/hold"
+	"github.com/dragonflydeal/dragonflydeal/internal/group/load"
+	"github.com/dragonflydeal/dragonflydeal/internal/operator/metrics"
+	"github.com/dragonflydeal/dragonflydeal/internal/wire/datagram"
+)
+
+const (
+	// restInterval is the time between two reports of the engine while nothing is in progress.
+	restInterval = 200 * time.Millisecond
+	// busyInterval is the same during a switch.
+	busyInterval = 40 * time.Millisecond
+	// engineTimeout bounds a read of the engine, which is on the same machine.
+	engineTimeout = 400 * time.Millisecond
+	// orderTimeout is the time after which the outcome of an order counts as unknown.
+	orderTimeout = 250 * time.Millisecond
+	// readTimeout bounds a read of the configuration, and readPause the time between two.
+	readTimeout = 2 * time.Second
+	readPause   = 15 * time.Second
+	// retryPause is the time before a failed read is tried again.
+	retryPause = time.Second
+)
+
+// Engine is the engine beside the slot.
+type Engine struct {
+	// Report reads the engine's state.
+	Report func(ctx context.Context) (hold.Engine, error)
+	// Counts reads which experts its requests chose, and Experts those that its rank holds.
+	Counts  func(ctx context.Context) (hold.Counts, error)
+	Experts func(ctx context.Context) (hold.Held, error)
+	// Order gives an order. With an error, the outcome is unknown.
+	Order func(ctx context.Context, o *hold.Order) (refused bool, err error)
+}
+
+// Options are the inputs of New.
+type Options struct {
+	Settings *site.Settings
+	Engine   Engine
+	// Configuration reads the configuration, which may be nil.
+	Configuration func(ctx context.Context) (*site.Configuration, int64, error)
+	Log           *slog.Logger
+	// Incarnation is chosen at random.
+	Incarnation uint64
+	// Now returns the present time.
+	Now func() time.Time
+}
+
+// Process is one slot.
+type Process struct {
+	Options
+	set    *metrics.Set
+	counts *counts
+	socket *datagram.Socket
+	// wake ends the wait of the engine's loop; it has room for one.
+	wake chan struct{}
+
+	mu sync.Mutex
+	// core, mesh, planner and the fields below are guarded by mu.
+	core    *hold.Core
+	mesh    *mesh.Mesh
+	planner *load.Planner
+	// tally turns the engine's counts into what is new, for the lead.
+	tally    load.Tally
+	sequence uint64
+	// experts is nil until the configuration was read.
+	experts *site.Experts
+	// held are the experts of the own rank in heldEpoch.
+	held      hold.Held
+	heldEpoch uint64
+	// ranks holds the newest state of each slot by its address.
+	ranks map[netip.AddrPort]hold.State
+	// introduced is when the entries were told of this slot.
+	introduced time.Time
+}
+
+// New returns a Process that does not run yet.
+func New(o Options) *Process {
+	set := metrics.NewSet()
+	return &Process{
+		Options: o, set: set, counts: newCounts(set), wake: make(chan struct{}, 1), core: hold.New(o.Now(), o.Incarnation),
+		ranks: map[netip.AddrPort]hold.State{},
+		mesh: mesh.New(mesh.Options{Own: o.Settings.Peers, Seeds: o.Settings.Seeds}),
+	}
+}
+
+// Run serves until the context ends.
+func (p *Process) Run(ctx context.Context) (err error) {
+	defer func() {
+		if err != nil {
+			err = merry.Prepend(err, "slot")
+		}
+	}()
+	if p.socket, err = datagram.Listen(p.Settings.Peers); err != nil {
+		return err
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	if err := p.serveOperators(ctx, group); err != nil {
+		return err
+	}
+	group.Go(func() error { return p.socket.Receive(ctx, p.hear, p.reject) })
+	group.Go(func() error { p.followEngine(ctx); return nil })
+	group.Go(func() error { p.readConfiguration(ctx); return nil })
+	p.Log.Info("start", "role", "slot", "name", p.Settings.Name, "centre", p.Settings.Centre, "engine", p.Settings.Engine, "incarnation", p.Incarnation)
+	err = group.Wait()
+	p.Log.Info("stop", "error", err)
+	return err
+}
+
+func (p *Process) serveOperators(ctx context.Context, group *errgroup.Group) error {
+	l, err := net.Listen("tcp4", p.Settings.Metrics.String())
+	if err != nil {
+		return merry.Prependf(err, "listen on %s", p.Settings.Metrics)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", p.set)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, ErrorLog: slog.NewLogLogger(p.Log.Handler(), slog.LevelDebug)}
+	context.AfterFunc(ctx, func() { server.Close() })
+	group.Go(func() error {
+		if err := server.Serve(l); ctx.Err() == nil {
+			return err
+		}
+		return nil
+	})
+	return nil
+}
+
+// readConfiguration keeps what is known of the group's experts up to date; it may be old.
+func (p *Process) readConfiguration(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait := retryPause
+		c, err := p.readOnce(ctx)
+		if err != nil {
+			p.Log.Warn("store lost", "call", "configuration", "error", err)
+		}
+		if err == nil && c != nil {
+			wait = readPause
+			p.accept(c)
+		}
+		sleep(ctx, wait)
+	}
+}
+
+func (p *Process) readOnce(ctx context.Context) (*site.Configuration, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	c, _, err := p.Configuration(ctx)
+	return c, err
+}
+
+func (p *Process) accept(c *site.Configuration) {
+	service := c.Services[p.Settings.Service]
+	if !service.Grouped() {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.experts != nil && *p.experts == service.Experts {
+		return
+	}
+	p.experts = &service.Experts
+	p.planner = load.NewPlanner(service.Experts)
+	p.Log.Info("configuration in force", "version", c.Version, "sets", service.Experts.Sets, "experts", service.Experts.Count)
+}
+
+// sleep waits for a time or the end of the context.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// counts are the metrics of the process.
+type counts struct {
+	// orders counts orders by kind and outcome, switches the attempts of this lead by end.
+	orders, switches *metrics.Counter
+	// datagrams counts lost and useless datagrams.
+	datagrams *metrics.Counter
+	// order is the time of an order.
+	order *metrics.Histogram
+}
+
+func newCounts(s *metrics.Set) *counts {
+	return &counts{
+		orders: s.Counter("orders"), switches: s.Counter("switches"), datagrams: s.Counter("datagrams"), order: s.Histogram("order"),
+	}
+}
+
+// reject counts a datagram that cannot be read.
+func (p *Process) reject(err error) {
+	p.counts.datagrams.With("event", "unreadable").Add(1)
+	p.Log.Warn("datagram dropped", "error", err)
+}
+
--- /dev/null
+++ b/internal/process/sidecar/sidecar_convert.go
@@ -0,0 +1,73 @@
+package sidecar
+
+import (
+	"github.com/dragonflydeal/dragonflydeal/internal/group/hold"
+	"github.com/dragonflydeal/dragonflydeal/internal/wire/message"
+)
+
+func encodeState(s hold.State) *message.RankState {
+	return &message.RankState{
+		Group: s.Group, Epoch: s.Epoch, Rank: uint32(s.Rank), Size: uint32(s.Size), Open: s.Open, Step: s.Step, Map: s.Map,
+		Prepared: s.Prepared, Armed: s.Armed, At: s.At, Held: s.Held, Clean: s.Clean,
+		Attempt: s.Ballot.Number, Lead: s.Ballot.Lead, Phase: uint32(s.Phase), Refused: s.Refused,
+	}
+}
+
+func decodeState(m *message.RankState) hold.State {
+	return hold.State{
+		Group: m.Group, Epoch: m.Epoch, Rank: int(m.Rank), Size: int(m.Size), Open: m.Open, Step: m.Step, Map: m.Map,
+		Prepared: m.Prepared, Armed: m.Armed, At: m.At, Held: m.Held, Clean: m.Clean,
+		Ballot: hold.Ballot{Number: m.Attempt, Lead: m.Lead}, Phase: hold.Phase(m.Phase), Refused: m.Refused,
+	}
+}
+
+func encodeAttempt(a *hold.Attempt) *message.Attempt {
+	if a == nil {
+		return nil
+	}
+	m := &message.Attempt{
+		Group: a.Group, Epoch: a.Epoch, Number: a.Number, Lead: a.Lead, Phase: uint32(a.Phase), Version: a.Version, Step: a.Step,
+	}
+	for _, set := range a.Map {
+		s := &message.SetMap{}
+		for _, experts := range set {
+			s.Ranks = append(s.Ranks, encodeExperts(experts))
+		}
+		m.Sets = append(m.Sets, s)
+	}
+	return m
+}
+
+func decodeAttempt(m *message.Attempt) *hold.Attempt {
+	if m == nil {
+		return nil
+	}
+	a := &hold.Attempt{
+		Ballot: hold.Ballot{Number: m.Number, Lead: m.Lead}, Group: m.Group, Epoch: m.Epoch, Phase: hold.Phase(m.Phase),
+		Version: m.Version, Step: m.Step,
+	}
+	for _, s := range m.Sets {
+		var set [][]int
+		for _, r := range s.Ranks {
+			set = append(set, decodeExperts(r))
+		}
+		a.Map = append(a.Map, set)
+	}
+	return a
+}
+
+func encodeExperts(experts []int) *message.RankMap {
+	m := &message.RankMap{}
+	for _, e := range experts {
+		m.Experts = append(m.Experts, uint32(e))
+	}
+	return m
+}
+
+func decodeExperts(m *message.RankMap) []int {
+	experts := make([]int, len(m.Experts))
+	for i, e := range m.Experts {
+		experts[i] = int(e)
+	}
+	return experts
+}
--- a/internal/wire/message/doc.go
+++ b/internal/wire/message/doc.go
@@ -2,4 +2,4 @@
 // The Go code is generated from the proto files in this folder.
 package message
 
-//go:generate protoc --go_out=. --go_opt=paths=source_relative --go-drpc_out=. --go-drpc_opt=paths=source_relative message.proto record.proto switch.proto loan.proto revision.proto
+//go:generate protoc --go_out=. --go_opt=paths=source_relative --go-drpc_out=. --go-drpc_opt=paths=source_relative message.proto record.proto switch.proto loan.proto revision.proto news.proto
