--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -96,7 +96,7 @@
 	return &Process{
 		Options: o, set: set, counts: newCounts(set), wake: make(chan struct{}, 1), core: hold.New(o.Now(), o.Incarnation),
 		ranks: map[netip.AddrPort]hold.State{},
-		mesh: mesh.New(mesh.Options{Own: o.Settings.Peers, Seeds: o.Settings.Seeds}),
+		mesh:  mesh.New(mesh.Options{Own: o.Settings.Peers, Seeds: o.Settings.Seeds}),
 	}
 }
 
@@ -210,4 +210,3 @@
 	p.counts.datagrams.With("event", "unreadable").Add(1)
 	p.Log.Warn("datagram dropped", "error", err)
 }
-
