Reload the settings on SIGHUP and when the file changes

Ruled out: a crash of the programs (no panic in their output). Now the file is read anew on the signal, and every two seconds when it has changed; what only a new process can take up is refused and logged.

--- a/internal/edge/mesh/mesh.go
+++ b/internal/edge/mesh/mesh.go
@@ -40,17 +40,14 @@
 	peers map[netip.AddrPort]*Peer
 }
 
-// Options are the inputs of New.
-type Options struct {
-	// Own is the process's own address for datagrams.
-	Own netip.AddrPort
-	// Seeds are addresses of entries; they may be stale.
-	Seeds []netip.AddrPort
+// New returns a Mesh that knows its own address and seeds, which are addresses of entries and may be stale.
+func New(own netip.AddrPort, seeds []netip.AddrPort) *Mesh {
+	return &Mesh{own: own, seeds: seeds, peers: map[netip.AddrPort]*Peer{}}
 }
 
-// New returns a Mesh that knows its seeds only.
-func New(o Options) *Mesh {
-	return &Mesh{own: o.Own, seeds: o.Seeds, peers: map[netip.AddrPort]*Peer{}}
+// Seed replaces the seeds.
+func (m *Mesh) Seed(seeds []netip.AddrPort) {
+	m.seeds = seeds
 }
 
 // Mention notes an address that another process heard lately.
--- a/internal/fleet/site/settings.go
+++ b/internal/fleet/site/settings.go
@@ -56,6 +56,23 @@
 	Memory int64
 }
 
+// Fixed returns an error when other settings differ in what only a new process can take up.
+func (s *Settings) Fixed(other *Settings) error {
+	for _, v := range []struct {
+		name     string
+		old, new any
+	}{
+		{"name", s.Name, other.Name}, {"data centre", s.Centre, other.Centre}, {"peers' address", s.Peers, other.Peers},
+		{"metrics address", s.Metrics, other.Metrics}, {"store", s.Store, other.Store}, {"callers' address", s.Callers, other.Callers},
+		{"ready address", s.Ready, other.Ready}, {"control address", s.Control, other.Control}, {"engine", s.Engine, other.Engine},
+	} {
+		if v.old != v.new {
+			return fmt.Errorf("%s changes from %v to %v: restart the process", v.name, v.old, v.new)
+		}
+	}
+	return nil
+}
+
 // RetryBound bounds repeats at a service, summed over all entries, in every window.
 type RetryBound struct {
 	// Ratio is the number of repeats for each request.
--- a/internal/operator/commands/platform.go
+++ b/internal/operator/commands/platform.go
@@ -4,10 +4,13 @@
 	"cmp"
 	"context"
 	"io"
+	"log/slog"
 	"math/rand/v2"
 	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/base/boottime"
@@ -21,22 +24,79 @@
 // heapShare is the part of a process's memory limit at which the garbage collector works harder.
 const heapShare = 0.6
 
-// platformSettings reads the platform's settings file and fits the runtime to its limits.
-func (c *process) platformSettings() (s *site.Settings, err error) {
-	s, err = platform.ReadSettings(cmp.Or(c.Settings, os.Getenv(platform.SettingsVariable)))
-	if err != nil {
-		return nil, err
+// filePause is the time between two looks at the settings file, which may change without a signal.
+const filePause = 2 * time.Second
+
+// settingsFile follows the platform's settings file.
+type settingsFile struct {
+	path string
+	// changed is the time of the file's newest known change.
+	changed time.Time
+	log     *slog.Logger
+}
+
+// openSettings reads the platform's settings file and fits the runtime to its limits.
+func (c *process) openSettings(log *slog.Logger) (f *settingsFile, s *site.Settings, err error) {
+	f = &settingsFile{path: cmp.Or(c.Settings, os.Getenv(platform.SettingsVariable)), log: log}
+	f.look()
+	if s, err = platform.ReadSettings(f.path); err != nil {
+		return nil, nil, err
 	}
 	// The machine runs one thread of a process at a time, so more would only hand work to each other.
 	runtime.GOMAXPROCS(1)
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(int64(heapShare * float64(s.Memory)))
 	}
-	return s, nil
+	return f, s, nil
+}
+
+// look reports whether the file has changed since the last look.
+func (f *settingsFile) look() bool {
+	info, err := os.Stat(f.path)
+	if err != nil || info.ModTime().Equal(f.changed) {
+		return false
+	}
+	f.changed = info.ModTime()
+	return true
+}
+
+// follow puts changed settings in force until the context ends.
+func (f *settingsFile) follow(ctx context.Context, apply func(*site.Settings) error) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	t := time.NewTicker(filePause)
+	defer t.Stop()
+	for {
+		cause := "file"
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			cause = "signal"
+			f.look()
+		case <-t.C:
+			if !f.look() {
+				continue
+			}
+		}
+		s, err := platform.ReadSettings(f.path)
+		if err == nil {
+			err = apply(s)
+		}
+		if err != nil {
+			f.log.Warn("reload refused, the settings before stay in force", "cause", cause, "error", err)
+			continue
+		}
+		f.log.Info("reload", "cause", cause)
+	}
 }
 
 func (c *entryCommand) runGateway(ctx context.Context, stdout io.Writer) error {
-	s, err := c.platformSettings()
+	w := logs.NewWriter(stdout)
+	defer w.Close()
+	log := logs.New(w)
+	file, s, err := c.openSettings(log)
 	if err != nil {
 		return err
 	}
@@ -44,10 +104,8 @@
 	if err != nil {
 		return err
 	}
-	w := logs.NewWriter(stdout)
-	defer w.Close()
 	store := platform.NewStore(s.Store)
-	return gateway.New(gateway.Options{
+	p := gateway.New(gateway.Options{
 		Settings: s,
 		Dialect: gateway.Dialect{
 			ReadCall: platform.ReadCall, NewRequest: platform.NewRequest, ReadAnswer: platform.ReadAnswer, WriteID: platform.WriteID,
@@ -55,22 +113,27 @@
 		Store: gateway.Store{
 			Configuration: store.Configuration, Changed: store.Changed, Targets: store.Targets, Close: store.Close,
 		},
-		Log: logs.New(w), Random: source(), Now: time.Now, Boot: boot,
-	}).Run(ctx)
+		Log: log, Random: source(), Now: time.Now, Boot: boot,
+	})
+	go file.follow(ctx, p.Reload)
+	return p.Run(ctx)
 }
 
 func (c *slotCommand) runSidecar(ctx context.Context, stdout io.Writer) error {
-	s, err := c.platformSettings()
+	w := logs.NewWriter(stdout)
+	defer w.Close()
+	log := logs.New(w)
+	file, s, err := c.openSettings(log)
 	if err != nil {
 		return err
 	}
-	w := logs.NewWriter(stdout)
-	defer w.Close()
 	engine := platform.NewEngine(s.Engine)
-	return sidecar.New(sidecar.Options{
+	p := sidecar.New(sidecar.Options{
 		Settings:      s,
 		Engine:        sidecar.Engine{Report: engine.Report, Counts: engine.Counts, Experts: engine.Experts, Order: engine.Order},
 		Configuration: platform.NewStore(s.Store).Configuration,
-		Log:           logs.New(w), Incarnation: rand.Uint64(), Now: time.Now,
-	}).Run(ctx)
+		Log:           log, Incarnation: rand.Uint64(), Now: time.Now,
+	})
+	go file.follow(ctx, p.Reload)
+	return p.Run(ctx)
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -82,6 +82,8 @@
 	transport *http.Transport
 	socket    *datagram.Socket
 	started   time.Time
+	// settings are those in force.
+	settings atomic.Pointer[site.Settings]
 	// configuration is nil until the first one was read.
 	configuration atomic.Pointer[site.Configuration]
 	// current is the boot time as of which the configuration is known to be the newest, or negative.
@@ -111,10 +113,11 @@
 	set := metrics.NewSet()
 	p := &Process{
 		Options: o, set: set, counts: newCounts(set), transport: newTransport(), started: o.Now(), incarnation: o.Random.Uint64(),
-		registry: target.NewRegistry(), mesh: mesh.New(mesh.Options{Own: o.Settings.Peers, Seeds: o.Settings.Seeds}),
+		registry: target.NewRegistry(), mesh: mesh.New(o.Settings.Peers, o.Settings.Seeds),
 		budgets: map[string]*budget.Budget{}, gauges: map[string]*seat.Gauge{}, lines: map[string]*seat.Line{}, seated: map[string]int{},
 	}
 	p.current.Store(-1)
+	p.settings.Store(o.Settings)
 	return p
 }
 
@@ -127,7 +130,7 @@
 	}()
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	if p.socket, err = datagram.Listen(p.Settings.Peers); err != nil {
+	if p.socket, err = datagram.Listen(p.settings.Load().Peers); err != nil {
 		return err
 	}
 	group, work := errgroup.WithContext(work)
@@ -137,7 +140,7 @@
 	for _, v := range []struct {
 		server  *http.Server
 		address netip.AddrPort
-	}{{callers, p.Settings.Callers}, {ready, p.Settings.Ready}, {operators, p.Settings.Control}, {operators, p.Settings.Metrics}} {
+	}{{callers, p.settings.Load().Callers}, {ready, p.settings.Load().Ready}, {operators, p.settings.Load().Control}, {operators, p.settings.Load().Metrics}} {
 		if !v.address.IsValid() {
 			continue
 		}
@@ -151,10 +154,25 @@
 	group.Go(func() error { p.tellPeers(work); return nil })
 	group.Go(func() error { every(work, tickInterval, p.tick); return nil })
 	group.Go(func() error { return p.await(ctx, work, callers, cancel) })
-	p.Log.Info("start", "role", "entry", "name", p.Settings.Name, "centre", p.Settings.Centre, "incarnation", p.incarnation)
+	p.Log.Info("start", "role", "entry", "name", p.settings.Load().Name, "centre", p.settings.Load().Centre, "incarnation", p.incarnation)
 	return group.Wait()
 }
 
+// Reload puts changed settings in force, or returns why they cannot be.
+func (p *Process) Reload(s *site.Settings) error {
+	if err := p.settings.Load().Fixed(s); err != nil {
+		return err
+	}
+	p.settings.Store(s)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mesh.Seed(s.Seeds)
+	for _, b := range p.budgets {
+		b.RetryBound = s.Retries
+	}
+	return nil
+}
+
 // listen serves HTTP at an address until the context ends.
 func (p *Process) listen(ctx context.Context, group *errgroup.Group, server *http.Server, address netip.AddrPort) error {
 	l, err := net.Listen("tcp4", address.String())
--- a/internal/process/gateway/gateway_follow.go
+++ b/internal/process/gateway/gateway_follow.go
@@ -33,7 +33,7 @@
 		asked, ok := p.Boot.Now()
 		var c *site.Configuration
 		var err error
-		fresh := p.configuration.Load() == nil || p.Now().Sub(read) > time.Duration(rereadShare*float64(p.Settings.History))
+		fresh := p.configuration.Load() == nil || p.Now().Sub(read) > time.Duration(rereadShare*float64(p.settings.Load().History))
 		if fresh {
 			c, revision, err = p.readConfiguration(ctx)
 			read = p.Now()
--- a/internal/process/gateway/gateway_peers.go
+++ b/internal/process/gateway/gateway_peers.go
@@ -57,7 +57,7 @@
 // head returns a datagram with the sender and the processes it heard; mu is held.
 func (p *Process) head() *message.News {
 	p.sequence++
-	n := &message.News{Name: p.Settings.Name, Centre: p.Settings.Centre, Incarnation: p.incarnation, Sequence: p.sequence}
+	n := &message.News{Name: p.settings.Load().Name, Centre: p.settings.Load().Centre, Incarnation: p.incarnation, Sequence: p.sequence}
 	for _, slot := range []bool{false, true} {
 		for _, peer := range p.mesh.Peers(slot) {
 			n.Neighbours = append(n.Neighbours, &message.Neighbour{Address: datagram.Address(peer.Address.Addr()), Slot: slot})
@@ -82,7 +82,7 @@
 		p.Log.Info("peer heard", "peer", n.Name, "address", from, "incarnation", n.Incarnation)
 	}
 	for _, v := range n.Neighbours {
-		p.mesh.Mention(now, netip.AddrPortFrom(datagram.FromNumber(v.Address), p.Settings.Peers.Port()), v.Slot)
+		p.mesh.Mention(now, netip.AddrPortFrom(datagram.FromNumber(v.Address), p.settings.Load().Peers.Port()), v.Slot)
 	}
 	if n.Slot {
 		if err := p.socket.Send(p.head(), []netip.AddrPort{from}); err != nil {
--- a/internal/process/gateway/gateway_run.go
+++ b/internal/process/gateway/gateway_run.go
@@ -68,7 +68,7 @@
 func (p *Process) budget(service string) *budget.Budget {
 	b := p.budgets[service]
 	if b == nil {
-		b = budget.New(p.Settings.Retries)
+		b = budget.New(p.settings.Load().Retries)
 		p.budgets[service] = b
 	}
 	return b
@@ -165,7 +165,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	name := v.service.Name
-	m := p.registry.Choose(p.Now(), target.Choice{Service: name, Centre: p.Settings.Centre, Tried: v.tried}, p.Random.Float64())
+	m := p.registry.Choose(p.Now(), target.Choice{Service: name, Centre: p.settings.Load().Centre, Tried: v.tried}, p.Random.Float64())
 	if m != nil {
 		m.Own++
 		v.tried[m.ID] = true
--- a/internal/process/gateway/gateway_serve.go
+++ b/internal/process/gateway/gateway_serve.go
@@ -132,7 +132,7 @@
 		return 0, false
 	}
 	age := now - current
-	return age, p.Settings.Revoke == 0 || age < p.Settings.Revoke-currencySlack
+	return age, p.settings.Load().Revoke == 0 || age < p.settings.Load().Revoke-currencySlack
 }
 
 // left returns the time until the request's deadline.
--- a/internal/process/gateway/gateway_stop.go
+++ b/internal/process/gateway/gateway_stop.go
@@ -33,11 +33,11 @@
 	}
 	began := p.Now()
 	p.stopping.Store(true)
-	p.Log.Info("stop", "step", "not ready", "grace", p.Settings.Grace)
+	p.Log.Info("stop", "step", "not ready", "grace", p.settings.Load().Grace)
 	sleep(work, rotationTime)
 	p.closed.Store(true)
 	p.Log.Info("stop", "step", "closing connections")
-	left := time.Duration(stopShare*float64(p.Settings.Grace)) - p.Now().Sub(began)
+	left := time.Duration(stopShare*float64(p.settings.Load().Grace)) - p.Now().Sub(began)
 	ctx, done := context.WithTimeout(work, left)
 	defer done()
 	err := callers.Shutdown(ctx)
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -67,7 +68,9 @@
 	Options
 	set    *metrics.Set
 	counts *counts
-	socket *datagram.Socket
+	// settings are those in force.
+	settings atomic.Pointer[site.Settings]
+	socket   *datagram.Socket
 	// wake ends the wait of the engine's loop; it has room for one.
 	wake chan struct{}
 
@@ -93,11 +96,25 @@
 // New returns a Process that does not run yet.
 func New(o Options) *Process {
 	set := metrics.NewSet()
-	return &Process{
+	p := &Process{
 		Options: o, set: set, counts: newCounts(set), wake: make(chan struct{}, 1), core: hold.New(o.Now(), o.Incarnation),
 		ranks: map[netip.AddrPort]hold.State{},
-		mesh:  mesh.New(mesh.Options{Own: o.Settings.Peers, Seeds: o.Settings.Seeds}),
+		mesh:  mesh.New(o.Settings.Peers, o.Settings.Seeds),
 	}
+	p.settings.Store(o.Settings)
+	return p
+}
+
+// Reload puts changed settings in force, or returns why they cannot be.
+func (p *Process) Reload(s *site.Settings) error {
+	if err := p.settings.Load().Fixed(s); err != nil {
+		return err
+	}
+	p.settings.Store(s)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mesh.Seed(s.Seeds)
+	return nil
 }
 
 // Run serves until the context ends.
@@ -107,7 +124,7 @@
 			err = merry.Prepend(err, "slot")
 		}
 	}()
-	if p.socket, err = datagram.Listen(p.Settings.Peers); err != nil {
+	if p.socket, err = datagram.Listen(p.settings.Load().Peers); err != nil {
 		return err
 	}
 	group, ctx := errgroup.WithContext(ctx)
@@ -117,16 +134,16 @@
 	group.Go(func() error { return p.socket.Receive(ctx, p.hear, p.reject) })
 	group.Go(func() error { p.followEngine(ctx); return nil })
 	group.Go(func() error { p.readConfiguration(ctx); return nil })
-	p.Log.Info("start", "role", "slot", "name", p.Settings.Name, "centre", p.Settings.Centre, "engine", p.Settings.Engine, "incarnation", p.Incarnation)
+	p.Log.Info("start", "role", "slot", "name", p.settings.Load().Name, "centre", p.settings.Load().Centre, "engine", p.settings.Load().Engine, "incarnation", p.Incarnation)
 	err = group.Wait()
 	p.Log.Info("stop", "error", err)
 	return err
 }
 
 func (p *Process) serveOperators(ctx context.Context, group *errgroup.Group) error {
-	l, err := net.Listen("tcp4", p.Settings.Metrics.String())
+	l, err := net.Listen("tcp4", p.settings.Load().Metrics.String())
 	if err != nil {
-		return merry.Prependf(err, "listen on %s", p.Settings.Metrics)
+		return merry.Prependf(err, "listen on %s", p.settings.Load().Metrics)
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", p.set)
@@ -165,7 +182,7 @@
 }
 
 func (p *Process) accept(c *site.Configuration) {
-	service := c.Services[p.Settings.Service]
+	service := c.Services[p.settings.Load().Service]
 	if !service.Grouped() {
 		return
 	}
--- a/internal/process/sidecar/sidecar_peers.go
+++ b/internal/process/sidecar/sidecar_peers.go
@@ -66,7 +66,7 @@
 func (p *Process) news() *message.News {
 	p.sequence++
 	return &message.News{
-		Name: p.Settings.Name, Centre: p.Settings.Centre, Incarnation: p.Incarnation, Sequence: p.sequence, Slot: true,
+		Name: p.settings.Load().Name, Centre: p.settings.Load().Centre, Incarnation: p.Incarnation, Sequence: p.sequence, Slot: true,
 	}
 }
 
@@ -92,7 +92,7 @@
 		p.Log.Info("peer heard", "peer", n.Name, "address", from, "incarnation", n.Incarnation)
 	}
 	for _, v := range n.Neighbours {
-		p.mesh.Mention(now, netip.AddrPortFrom(datagram.FromNumber(v.Address), p.Settings.Peers.Port()), v.Slot)
+		p.mesh.Mention(now, netip.AddrPortFrom(datagram.FromNumber(v.Address), p.settings.Load().Peers.Port()), v.Slot)
 	}
 	if n.Rank == nil {
 		return
