--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -30,8 +30,9 @@
 	busyInterval = 40 * time.Millisecond
 	// engineTimeout bounds a read of the engine, which is on the same machine.
 	engineTimeout = 400 * time.Millisecond
-	// orderTimeout is the time after which the outcome of an order counts as unknown.
-	orderTimeout = 250 * time.Millisecond
+	// orderTimeout is the time after which the outcome of an order counts as unknown: an engine on the same machine
+	// answers in milliseconds, and the group may stand while an order is repeated.
+	orderTimeout = 80 * time.Millisecond
 	// readTimeout bounds a read of the configuration, and readPause the time between two.
 	readTimeout = 2 * time.Second
 	readPause   = 15 * time.Second
--- a/internal/process/sidecar/sidecar_peers.go
+++ b/internal/process/sidecar/sidecar_peers.go
@@ -13,7 +13,7 @@
 // entryInterval is the time between two datagrams to the entries, which tell the addresses of the other slots.
 const entryInterval = time.Second
 
-// tell sends the own state to the other slots, and now and then to the entries.
+// tell sends the own state to the slot that leads, or to all others, and now and then to the entries.
 func (p *Process) tell() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -31,15 +31,13 @@
 	n := p.news()
 	n.Rank = encodeState(p.core.State(now))
 	n.Attempt = encodeAttempt(p.core.Published())
-	lead := p.leadAddress(now)
-	var others []netip.AddrPort
-	for _, a := range p.mesh.Addresses(true) {
-		if a != lead {
-			others = append(others, a)
-		}
+	if p.core.Leads() {
+		p.send(n, p.mesh.Addresses(true))
+		return
 	}
-	p.send(n, others)
+	lead := p.leadAddress(now)
 	if !lead.IsValid() {
+		p.send(n, p.mesh.Addresses(true))
 		return
 	}
 	n.Counts = p.tally.Take()
