Bound the experts that a rank loads in one switch

Cause: after a shift of demand the first switch loaded up to twelve experts at a rank, a tenth of a second each, while the old map stayed in use. Now four over all sets, the set with the largest skew first; the rest follows.

--- a/internal/group/balance/relief.go
+++ b/internal/group/balance/relief.go
@@ -11,6 +11,8 @@
 	Places int
 	// Fresh is the largest number of experts that one switch may add to a rank.
 	Fresh int
+	// Room limits that for each rank further; it may be nil.
+	Room []int
 	// Price is the fall of the busiest rank's load, in mean loads, that one loaded expert must bring.
 	Price float64
 }
@@ -82,6 +84,11 @@
 	return s
 }
 
+// roomy reports whether the switch may add one more expert to a rank.
+func (s *reliefSearch) roomy(rank int) bool {
+	return s.fresh[rank] < s.Fresh && (s.Room == nil || s.fresh[rank] < s.Room[rank])
+}
+
 func (s *reliefSearch) worst() float64 {
 	return slices.Max(s.times)
 }
@@ -154,7 +161,7 @@
 			s.considerDrop(&best, from, expert)
 		}
 		for to := range s.Ranks {
-			if to != from && !slices.Contains(s.Ranks[to], expert) && s.fresh[to] < s.Fresh {
+			if to != from && !slices.Contains(s.Ranks[to], expert) && s.roomy(to) {
 				s.considerTo(&best, from, expert, to)
 			}
 		}
@@ -179,7 +186,7 @@
 		if s.n[other] > 1 {
 			s.considerCopy(best, from, expert, to, other)
 		}
-		if s.fresh[from] < s.Fresh && !slices.Contains(s.Ranks[from], other) {
+		if s.roomy(from) && !slices.Contains(s.Ranks[from], other) {
 			s.considerSwap(best, from, expert, to, other)
 		}
 	}
--- a/internal/group/load/load.go
+++ b/internal/group/load/load.go
@@ -2,6 +2,7 @@
 package load
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -51,6 +52,9 @@
 	horizon = 2 * time.Second
 	// copyPrice is the time of the whole group's work that loading one expert is worth.
 	copyPrice = 4 * time.Millisecond
+	// rankLoads is the number of experts that a rank loads in one switch over all sets: each takes a tenth of a second,
+	// in which the old map stays in use.
+	rankLoads = 4
 	// leastGain is the part of a pass that a switch must save, so that noise moves nothing.
 	leastGain = 0.04
 	// pause is the shortest time between two switches.
@@ -146,17 +150,20 @@
 		return d, false
 	}
 	skew, next := 0.0, 0.0
-	for s, current := range maps {
-		loads := p.loads[s]
+	d.Map = make([][][]int, p.Sets)
+	room := slices.Repeat([]int{rankLoads}, size)
+	for _, s := range p.order(maps) {
+		current, loads := maps[s], p.loads[s]
 		if sum(loads) < fewest*float64(p.Experts.Count) {
 			return d, false
 		}
-		o := balance.Relief{Places: p.Places, Fresh: p.Spare, Price: p.price()}
+		o := balance.Relief{Places: p.Places, Fresh: p.Spare, Room: room, Price: p.price()}
 		better, loaded := balance.Relieve(o, current, loads)
 		skew += balance.Skew(current.Times(loads, nil)) / float64(p.Sets)
 		next += balance.Skew(better.Times(loads, nil)) / float64(p.Sets)
 		d.Loaded += loaded
-		d.Map = append(d.Map, better.Ranks)
+		d.Map[s] = better.Ranks
+		spend(room, current, better)
 	}
 	d.Skew, d.Next = p.pass(skew), p.pass(next)
 	if d.Loaded == 0 || (d.Skew-d.Next)/d.Skew < leastGain {
@@ -166,6 +173,28 @@
 	return d, true
 }
 
+// order returns the sets, the one with the largest skew first.
+func (p *Planner) order(maps []*balance.Placement) []int {
+	skews := make([]float64, p.Sets)
+	order := make([]int, p.Sets)
+	for s, m := range maps {
+		skews[s], order[s] = balance.Skew(m.Times(p.loads[s], nil)), s
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(skews[b], skews[a]) })
+	return order
+}
+
+// spend takes the experts that each rank loads from the room that it has.
+func spend(room []int, from, to *balance.Placement) {
+	for r, held := range to.Ranks {
+		for _, e := range held {
+			if !slices.Contains(from.Ranks[r], e) {
+				room[r]--
+			}
+		}
+	}
+}
+
 // price returns the fall of a set's skew that pays for one loaded expert.
 func (p *Planner) price() float64 {
 	return copyPrice.Seconds() / horizon.Seconds() * float64(p.Sets) / p.Experts.Share
