--- a/internal/group/load/load.go
+++ b/internal/group/load/load.go
@@ -70,6 +70,10 @@
 	faded time.Time
 	// ranks are the experts that each rank holds, as told in an epoch.
 	ranks map[int]holding
+	// decided is the newest map that was decided on, by set and rank.
+	decided [][][]int
+	// begunVersion is the version of decided.
+	begunVersion uint64
 	// begun is the time of the newest decision to switch.
 	begun time.Time
 }
@@ -113,6 +117,11 @@
 	p.ranks[rank] = holding{Held: h, epoch: epoch}
 }
 
+// Begun notes under which version the newest decision is being put in force.
+func (p *Planner) Begun(version uint64) {
+	p.begunVersion = version
+}
+
 // Fade lets older counts weigh less.
 func (p *Planner) Fade(now time.Time) {
 	factor := math.Exp2(-now.Sub(p.faded).Seconds() / halfLife.Seconds())
@@ -126,6 +135,12 @@
 
 // placements returns the present maps by set, or nil while some rank's experts are not known.
 func (p *Planner) placements(epoch, version uint64, size int) (maps []*balance.Placement) {
+	if version == p.begunVersion && len(p.decided) == p.Sets {
+		for _, set := range p.decided {
+			maps = append(maps, &balance.Placement{Ranks: set})
+		}
+		return maps
+	}
 	for s := range p.Sets {
 		m := &balance.Placement{Ranks: make([][]int, size)}
 		for r := range size {
@@ -169,7 +184,7 @@
 	if d.Loaded == 0 || (d.Skew-d.Next)/d.Skew < leastGain {
 		return d, false
 	}
-	p.begun = now
+	p.begun, p.decided = now, d.Map
 	return d, true
 }
 
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -25,7 +25,9 @@
 
 const (
 	// restInterval is the time between two reports of the engine while nothing is in progress.
-	restInterval = 200 * time.Millisecond
+	restInterval = 100 * time.Millisecond
+	// countInterval is the time between two readings of the chosen experts; the engine gives them away on its own machine.
+	countInterval = 100 * time.Millisecond
 	// busyInterval is the same during a switch.
 	busyInterval = 40 * time.Millisecond
 	// engineTimeout bounds a read of the engine, which is on the same machine.
--- a/internal/process/sidecar/sidecar_engine.go
+++ b/internal/process/sidecar/sidecar_engine.go
@@ -24,7 +24,7 @@
 		if reachable {
 			p.order(ctx)
 		}
-		if now := p.Now(); reachable && now.Sub(counted) >= restInterval {
+		if now := p.Now(); reachable && now.Sub(counted) >= countInterval {
 			counted = now
 			p.count(ctx)
 			p.plan(now)
--- a/internal/process/sidecar/sidecar_peers.go
+++ b/internal/process/sidecar/sidecar_peers.go
@@ -142,6 +142,8 @@
 		return
 	}
 	p.Log.Info("balance", "loaded", d.Loaded, "skew", d.Skew, "next", d.Next, "map", own.Map, "step", own.Step)
-	p.core.Begin(now, d.Map)
+	if p.core.Begin(now, d.Map) {
+		p.planner.Begun(p.core.Published().Version)
+	}
 	p.logNotes()
 }
