Take seats from the slowest passes of the last seconds

Ruled out: the network and the entries (all entries saw the same pauses), prompts (their part of a pass is a few ms). Now the largest time that a stream added to a pass in the last seconds bounds the seats too.

--- a/internal/edge/seat/gauge.go
+++ b/internal/edge/seat/gauge.go
@@ -9,43 +9,69 @@
 )
 
 const (
-	// aimShare is the mean pause between events that is aimed at, as a part of the longest one on time:
-	// the rest is for passes that are longer than the mean.
-	aimShare = 0.66
-	// memory is the time in which the estimate of the pause forgets most of what it knew.
-	memory = 700 * time.Millisecond
+	// meanShare is the mean pause between events that is aimed at, and worstShare that of the slowest passes
+	// that are expected, as parts of the longest pause on time. One longer pass makes every stream late.
+	meanShare  = 0.75
+	worstShare = 0.95
+	// meanMemory and passMemory are the times in which the estimates of the mean and of the newest passes
+	// forget most of what they knew.
+	meanMemory = 700 * time.Millisecond
+	passMemory = 80 * time.Millisecond
+	// worstHalfLife is the time in which the slowest pass counts half: demand shifts every few seconds,
+	// and passes are slow from each shift to the next map.
+	worstHalfLife = 8 * time.Second
 	// staleAfter is the age at which the newest pause says nothing of the present.
 	staleAfter = 1500 * time.Millisecond
-	// usualSkew is the load of the busiest rank over the mean that is assumed without a measurement.
+	// stallGaps is the pause, in longest pauses on time, from which it is a fault and not load that delays a stream.
+	stallGaps = 3
+	// usualSkew is the time of a pass over that of an even group that is assumed without a measurement.
 	usualSkew = 1.9
+	// observers is a usual number of entries that share the streams of a group.
+	observers = 9
 )
 
 // Gauge estimates how many streams a group can have so that their pauses are on time. It is not safe for concurrent use.
 type Gauge struct {
-	// pause is the smoothed time between two events of a stream.
-	pause float64
-	// running is the smoothed number of streams while pause was measured.
-	running float64
+	// pause and running are the smoothed time between two events of a stream, and the streams meanwhile.
+	pause, running float64
+	// pass is the same for the newest passes only.
+	pass float64
+	// worst is the largest time that one stream added to a pass, which fades.
+	worst float64
 	// seen is the time of the newest pause.
 	seen time.Time
 }
 
 // Observe takes the time between two events of one stream while so many streams ran in the group.
-func (g *Gauge) Observe(now time.Time, pause time.Duration, running int) {
-	if now.Sub(g.seen) > staleAfter {
-		g.pause, g.running, g.seen = pause.Seconds(), float64(running), now
+func (g *Gauge) Observe(now time.Time, pause time.Duration, running int, s *site.Service, gap time.Duration) {
+	if running < 1 || pause > stallGaps*gap {
 		return
 	}
-	// Each stream sees the same passes, so the weight of one pause falls with the number of streams.
-	elapsed := pause.Seconds() / math.Max(1, float64(running)/observers)
-	weight := 1 - math.Exp(-elapsed/memory.Seconds())
-	g.pause += weight * (pause.Seconds() - g.pause)
-	g.running += weight * (float64(running) - g.running)
+	seconds := pause.Seconds()
+	if now.Sub(g.seen) > staleAfter {
+		g.pause, g.pass, g.running = seconds, seconds, float64(running)
+	}
+	g.worst *= math.Exp2(-now.Sub(g.seen).Seconds() / worstHalfLife.Seconds())
 	g.seen = now
+	// Each stream sees the same passes, so the weight of one pause falls with the number of streams.
+	elapsed := seconds / math.Max(1, float64(running)/observers)
+	g.pause += weight(elapsed, meanMemory) * (seconds - g.pause)
+	g.running += weight(elapsed, meanMemory) * (float64(running) - g.running)
+	g.pass += weight(elapsed, passMemory) * (seconds - g.pass)
+	g.worst = math.Max(g.worst, (g.pass-bare(s))/float64(max(running, fewest)))
 }
 
-// observers is a usual number of entries that share the streams of a group.
-const observers = 9
+// fewest is the number of streams below which the time that one adds is not told apart from that of the prompts.
+const fewest = 24
+
+func weight(elapsed float64, memory time.Duration) float64 {
+	return 1 - math.Exp(-elapsed/memory.Seconds())
+}
+
+// bare returns the time of a pass without streams, in seconds.
+func bare(s *site.Service) float64 {
+	return (time.Duration(s.Stride) * s.Step).Seconds()
+}
 
 // Pause returns the estimated pause, or zero without a recent one.
 func (g *Gauge) Pause(now time.Time) time.Duration {
@@ -55,15 +81,18 @@
 	return time.Duration(g.pause * float64(time.Second))
 }
 
-// Seats returns the number of streams at which the mean pause reaches its aim.
+// Seats returns the number of streams at which the mean pause, or that of the slowest passes, reaches its aim.
 // A pass grows with the streams from the time of its bare token steps.
 func (g *Gauge) Seats(now time.Time, s *site.Service, gap time.Duration, ranks int) int {
-	bare := (time.Duration(s.Stride) * s.Step).Seconds()
-	each := usualSkew * float64(s.Stride) * s.Sequence.Seconds() / float64(max(ranks, 1))
+	even := float64(s.Stride) * s.Sequence.Seconds() / float64(max(ranks, 1))
+	mean := usualSkew * even
 	if now.Sub(g.seen) <= staleAfter && g.running >= 1 {
-		each = math.Max(g.pause-bare, 0) / g.running
+		mean = math.Max((g.pause-bare(s))/g.running, even/2)
+	}
+	seats := (meanShare*gap.Seconds() - bare(s)) / mean
+	faded := g.worst * math.Exp2(-now.Sub(g.seen).Seconds()/worstHalfLife.Seconds())
+	if faded > mean {
+		seats = math.Min(seats, (worstShare*gap.Seconds()-bare(s))/faded)
 	}
-	least := float64(s.Stride) * s.Sequence.Seconds() / float64(max(ranks, 1)) / 2
-	seats := (aimShare*gap.Seconds() - bare) / math.Max(each, least)
 	return max(int(seats), ranks)
 }
--- a/internal/process/gateway/gateway_stream.go
+++ b/internal/process/gateway/gateway_stream.go
@@ -100,7 +100,7 @@
 		pause := now.Sub(s.last)
 		p.counts.pause.Observe(pause.Seconds())
 		p.mu.Lock()
-		p.gauge(s.service.Name).Observe(now, pause, p.registry.Running(s.service.Name))
+		p.gauge(s.service.Name).Observe(now, pause, p.registry.Running(s.service.Name), s.service, s.route.Gap)
 		p.mu.Unlock()
 	}
 	s.last = now
