Switch only for a gain of a tenth of a pass

Cause: with the old limit of 4 in 100 the group loaded some 17 experts every 0.7 s for gains that put no stream on time; each loading slows passes by 15 in 100 and costs.

--- a/internal/group/load/load.go
+++ b/internal/group/load/load.go
@@ -56,7 +56,7 @@
 	// in which the old map stays in use.
 	rankLoads = 4
 	// leastGain is the part of a pass that a switch must save, so that noise moves nothing.
-	leastGain = 0.04
+	leastGain = 0.10
 	// pause is the shortest time between two switches.
 	pause = 300 * time.Millisecond
 )
