Void a killed slot's orders also when the configuration comes after the engine's report

Ruled out: lost datagrams, missing disarm orders (all armed ranks were disarmed within 0.2 s). TestVoidsOrdersOfAKilledSlot failed before: 'not true: f.given(hold.OrderPrepare)'.

--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -196,6 +196,7 @@
 	}
 	p.experts = &service.Experts
 	p.planner = load.NewPlanner(service.Experts)
+	p.keep()
 	p.Log.Info("configuration in force", "version", c.Version, "sets", service.Experts.Sets, "experts", service.Experts.Count)
 }
 
--- a/internal/process/sidecar/sidecar_engine.go
+++ b/internal/process/sidecar/sidecar_engine.go
@@ -22,7 +22,7 @@
 		}
 		reachable = err == nil
 		if reachable {
-			p.order(ctx)
+			p.orderAll(ctx, p.tell)
 		}
 		if now := p.Now(); reachable && now.Sub(counted) >= countInterval {
 			counted = now
@@ -65,8 +65,8 @@
 	return nil
 }
 
-// order carries out the orders that the core wants, and tells of the state after each.
-func (p *Process) order(ctx context.Context) {
+// orderAll carries out the orders that the core wants, and tells of the state after each.
+func (p *Process) orderAll(ctx context.Context, tell func()) {
 	for ctx.Err() == nil {
 		p.mu.Lock()
 		o := p.core.Next(p.Now())
@@ -85,7 +85,7 @@
 			p.Log.Warn("engine not read after an order", "error", err)
 			return
 		}
-		p.tell()
+		tell()
 		if refused || err != nil {
 			return
 		}
@@ -121,7 +121,7 @@
 	p.mu.Lock()
 	p.tally.Add(c)
 	state := p.core.State(p.Now())
-	known := p.held.Experts != nil && p.experts != nil && p.held.Map == state.Map && p.heldEpoch == state.Epoch
+	known := p.held.Experts != nil && p.held.Map == state.Map && p.heldEpoch == state.Epoch
 	p.mu.Unlock()
 	if known {
 		return
@@ -133,12 +133,19 @@
 	}
 	p.mu.Lock()
 	p.held, p.heldEpoch = h, state.Epoch
-	if p.experts != nil {
-		p.core.Keep(load.Keep(*p.experts, state.Rank, state.Size, h.Experts))
-	}
+	p.keep()
 	p.mu.Unlock()
 }
 
+// keep gives the core a map that changes nothing at this rank, once the rank's experts and the configuration are known; mu is held.
+func (p *Process) keep() {
+	if p.experts == nil || p.held.Experts == nil {
+		return
+	}
+	s := p.core.State(p.Now())
+	p.core.Keep(load.Keep(*p.experts, s.Rank, s.Size, p.held.Experts))
+}
+
 // logNotes writes the changes of the switch; mu is held.
 func (p *Process) logNotes() {
 	for _, n := range p.core.Notes() {
--- /dev/null
+++ b/internal/process/sidecar/sidecar_test.go
@@ -0,0 +1,102 @@
+package sidecar
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/fleet/site"
+	"github.com/dragonflydeal/dragonflydeal/internal/group/hold"
+)
+
+// testExperts describes a group of two ranks with four experts in one set.
+var testExperts = site.Experts{Sets: 1, Count: 4, Places: 3, Spare: 1, Share: 0.8}
+
+// fakeEngine is an engine that a killed slot left armed and holding.
+type fakeEngine struct {
+	mu    sync.Mutex
+	state hold.Engine
+	// orders are those that were given, in order.
+	orders []hold.Order
+}
+
+func (f *fakeEngine) report(context.Context) (hold.Engine, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state, nil
+}
+
+func (f *fakeEngine) order(_ context.Context, o *hold.Order) (refused bool, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.orders = append(f.orders, *o)
+	switch o.Kind {
+	case hold.OrderDisarm:
+		f.state.Armed, f.state.At = 0, 0
+	case hold.OrderPrepare:
+		f.state.Prepared = o.Version
+	case hold.OrderGo:
+		f.state.Held = 0
+	}
+	return false, nil
+}
+
+func (f *fakeEngine) given(kind hold.OrderKind) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, o := range f.orders {
+		if o.Kind == kind {
+			return true
+		}
+	}
+	return false
+}
+
+// newTestProcess returns a slot without a network beside an engine.
+func newTestProcess(f *fakeEngine) *Process {
+	return New(Options{
+		Settings: &site.Settings{Name: "slot", Service: "desk", Peers: netip.MustParseAddrPort("127.0.0.1:7000")},
+		Engine: Engine{
+			Report: f.report, Order: f.order,
+			Counts:  func(context.Context) (hold.Counts, error) { return hold.Counts{Epoch: 1, Chosen: make([]uint64, 4)}, nil },
+			Experts: func(context.Context) (hold.Held, error) { return hold.Held{Map: 5, Experts: [][]int{{0, 2}}}, nil },
+		},
+		Log: slog.New(slog.DiscardHandler), Incarnation: 9, Now: time.Now,
+	})
+}
+
+// TestVoidsOrdersOfAKilledSlot gives a restarted slot the configuration before or after it has read its engine:
+// either way it must replace the prepared map that its predecessor may have armed, and not wait until late orders are over.
+func TestVoidsOrdersOfAKilledSlot(t *testing.T) {
+	tests := []struct {
+		name  string
+		early bool
+	}{
+		{"configuration first", true},
+		{"engine first", false},
+	}
+	for _, v := range tests {
+		t.Run(v.name, func(t *testing.T) {
+			is := is.New(t)
+			f := &fakeEngine{state: hold.Engine{Group: "g", Epoch: 1, Rank: 1, Size: 2, Open: true, Step: 40, Map: 5, Prepared: 6}}
+			p := newTestProcess(f)
+			c := &site.Configuration{Services: map[string]*site.Service{"desk": {Name: "desk", Experts: testExperts}}}
+			if v.early {
+				p.accept(c)
+			}
+			is.NoErr(p.readEngine(t.Context()))
+			p.count(t.Context())
+			p.accept(c)
+			is.NoErr(p.readEngine(t.Context()))
+			is.True(!p.core.State(p.Now()).Clean)
+			p.orderAll(t.Context(), func() {})
+			is.True(f.given(hold.OrderPrepare))
+			is.True(p.core.State(p.Now()).Clean)
+		})
+	}
+}
