--- a/internal/edge/seat/gauge.go
+++ b/internal/edge/seat/gauge.go
@@ -17,9 +17,9 @@
 	// forget most of what they knew.
 	meanMemory = 700 * time.Millisecond
 	passMemory = 80 * time.Millisecond
-	// worstHalfLife is the time in which the slowest pass counts half: demand shifts every few seconds, passes are slow
-	// from each shift to the next map, and between two shifts the estimate must not forget that.
-	worstHalfLife = 25 * time.Second
+	// worstHalfLife is the time in which the slowest pass counts half: demand shifts every few seconds, and passes are slow
+	// from each shift to the next map.
+	worstHalfLife = 8 * time.Second
 	// staleAfter is the age at which the newest pause says nothing of the present.
 	staleAfter = 1500 * time.Millisecond
 	// stallGaps is the pause, in longest pauses on time, from which it is a fault and not load that delays a stream.
