Shorten the switch: three loads a rank, a margin of two steps, states told until it takes effect

Cause: from a shift of demand to the new map it took 0.9 to 1.5 s, of which 0.4 s were loads and 0.4 s the wait for a report that the switch had taken effect.

--- a/internal/group/hold/core.go
+++ b/internal/group/hold/core.go
@@ -32,7 +32,7 @@
 	armTime = 1500 * time.Millisecond
 	// margin is the number of steps between the newest one and the switch:
 	// the time in which ranks arm without making the group wait.
-	margin = 3
+	margin = 2
 )
 
 // Core is the part of one rank's slot in the switches of its group. It is not safe for concurrent use.
@@ -169,10 +169,10 @@
 	return c.known
 }
 
-// Busy reports whether an attempt is in progress that concerns this rank.
+// Busy reports whether an attempt is in progress that concerns this rank, or a switch is about to take effect.
 func (c *Core) Busy() bool {
 	active := c.applies() && c.following.Phase != PhaseRest
-	return c.lead.state != stateResting || c.inflight != nil || active
+	return c.lead.state != stateResting || c.inflight != nil || active || c.engine.Armed != 0
 }
 
 // Notes returns the changes since the last call.
--- a/internal/group/load/load.go
+++ b/internal/group/load/load.go
@@ -54,7 +54,7 @@
 	copyPrice = 4 * time.Millisecond
 	// rankLoads is the number of experts that a rank loads in one switch over all sets: each takes a tenth of a second,
 	// in which the old map stays in use.
-	rankLoads = 4
+	rankLoads = 3
 	// leastGain is the part of a pass that a switch must save, so that noise moves nothing.
 	leastGain = 0.10
 	// pause is the shortest time between two switches.
