Send callers of a refusing group away for seconds

Cause: a stream that a broken group refused was told to come back after 0.3 s, and one without a seat after 1 to 2.5 s; a group forms anew seconds after the loss of a rank, so most were refused again.

--- a/internal/edge/seat/seat.go
+++ b/internal/edge/seat/seat.go
@@ -13,8 +13,8 @@
 	lateShare = 0.85
 	// leastAdvice and mostAdvice bound the time after which a refused caller may come back:
 	// about as long as the streams take that hold the seats.
-	leastAdvice = 1 * time.Second
-	mostAdvice  = 2500 * time.Millisecond
+	leastAdvice = 1500 * time.Millisecond
+	mostAdvice  = 3500 * time.Millisecond
 )
 
 // Waiter is a request that wants a seat.
--- a/internal/process/gateway/gateway_attempt.go
+++ b/internal/process/gateway/gateway_attempt.go
@@ -22,8 +22,11 @@
 	hedgeGoals = 2
 	// plainSize is the largest plain answer that is read whole before the caller gets it.
 	plainSize = 1 << 20
-	// advice is when the caller of a refused plain request may come back.
-	advice = 300 * time.Millisecond
+	// plainAdvice is when the caller of a refused plain request may come back: another target serves it then, or a slot is free.
+	plainAdvice = 300 * time.Millisecond
+	// groupAdvice is when the caller of a stream may come back whose group refuses: it forms anew,
+	// which takes seconds from the loss of a rank.
+	groupAdvice = 4 * time.Second
 )
 
 // errSilent ends an attempt whose target takes much longer than usual.
@@ -133,9 +136,9 @@
 		v.write(failure)
 		v.finish("failed", reason)
 	case certain && v.left() > 0:
-		v.refuse(http.StatusServiceUnavailable, reason, advice)
+		v.refuse(http.StatusServiceUnavailable, reason, v.advice())
 	case certain:
-		v.refuse(http.StatusServiceUnavailable, "not run within the time limit: "+reason, advice)
+		v.refuse(http.StatusServiceUnavailable, "not run within the time limit: "+reason, v.advice())
 	case v.left() <= 0:
 		v.refuse(http.StatusGatewayTimeout, reason, 0)
 	default:
@@ -143,6 +146,14 @@
 	}
 }
 
+// advice returns when the caller may come back after its request was refused.
+func (v *request) advice() time.Duration {
+	if v.service.Grouped() {
+		return groupAdvice
+	}
+	return plainAdvice
+}
+
 // attempt sends the request to one target and passes the answer on.
 func (v *request) attempt(m *target.Member, s *stream) (result outcome, failure *stored, reason string) {
 	p := v.process
