--- a/internal/process/gateway/gateway_follow.go
+++ b/internal/process/gateway/gateway_follow.go
@@ -10,7 +10,7 @@
 
 const (
 	// watchWait is how long one watch of the configuration waits: a key's removal must be known within seconds.
-	watchWait = 1200 * time.Millisecond
+	watchWait = 2 * time.Second
 	// watchSlack is the time beyond its wait after which a watch counts as lost.
 	watchSlack = 600 * time.Millisecond
 	// readTimeout bounds a read of the store, which answers in milliseconds; a slow store takes some hundred.
@@ -20,8 +20,8 @@
 	rereadShare = 0.25
 	// retryPause is the time before a failed read is tried again.
 	retryPause = 250 * time.Millisecond
-	// listPause is the time between two lists of the targets.
-	listPause = 700 * time.Millisecond
+	// listPause is the time between two lists of the targets: a leaving one must get no new work two seconds after the store knows.
+	listPause = 1100 * time.Millisecond
 )
 
 // followConfiguration keeps the configuration up to date.
