--- a/internal/group/load/load.go
+++ b/internal/group/load/load.go
@@ -51,7 +51,7 @@
 	// horizon is the time for which a map is expected to fit: demand shifts every three seconds or so.
 	horizon = 2 * time.Second
 	// copyPrice is the time of the whole group's work that loading one expert is worth.
-	copyPrice = 8 * time.Millisecond
+	copyPrice = 14 * time.Millisecond
 	// rankLoads is the number of experts that a rank loads in one switch over all sets: each takes a tenth of a second,
 	// in which the old map stays in use.
 	rankLoads = 3
