--- a/internal/edge/seat/gauge.go
+++ b/internal/edge/seat/gauge.go
@@ -17,9 +17,13 @@
 	// forget most of what they knew.
 	meanMemory = 700 * time.Millisecond
 	passMemory = 80 * time.Millisecond
-	// worstHalfLife is the time in which the slowest pass counts half: demand shifts every few seconds, and passes are slow
-	// from each shift to the next map.
-	worstHalfLife = 8 * time.Second
+	// worstHalfLife is the time in which the slowest pass counts half: demand shifts every few seconds, passes are slow
+	// from each shift to the next map, and between two shifts the estimate must not forget that.
+	worstHalfLife = 20 * time.Second
+	// worstSkew is the largest time that one stream adds to a pass, over that in an even group, which is put down to a
+	// shift of demand: about three times from the skew, and the rest from prompts and copies. What is above it is a fault,
+	// such as a slow engine, which only counts while it lasts.
+	worstSkew = 4.5
 	// staleAfter is the age at which the newest pause says nothing of the present.
 	staleAfter = 1500 * time.Millisecond
 	// stallGaps is the pause, in longest pauses on time, from which it is a fault and not load that delays a stream.
@@ -43,7 +47,7 @@
 }
 
 // Observe takes the time between two events of one stream while so many streams ran in the group.
-func (g *Gauge) Observe(now time.Time, pause time.Duration, running int, s *site.Service, gap time.Duration) {
+func (g *Gauge) Observe(now time.Time, pause time.Duration, running, ranks int, s *site.Service, gap time.Duration) {
 	if running < 1 || pause > stallGaps*gap {
 		return
 	}
@@ -59,6 +63,7 @@
 	g.running += weight(elapsed, meanMemory) * (float64(running) - g.running)
 	g.pass += weight(elapsed, passMemory) * (seconds - g.pass)
 	g.worst = math.Max(g.worst, (g.pass-bare(s))/float64(max(running, fewest)))
+	g.worst = math.Min(g.worst, worstSkew*even(s, ranks))
 }
 
 // fewest is the number of streams below which the time that one adds is not told apart from that of the prompts.
@@ -73,6 +78,11 @@
 	return (time.Duration(s.Stride) * s.Step).Seconds()
 }
 
+// even returns the time that one stream adds to a pass of an even group, in seconds.
+func even(s *site.Service, ranks int) float64 {
+	return float64(s.Stride) * s.Sequence.Seconds() / float64(max(ranks, 1))
+}
+
 // Pause returns the estimated pause, or zero without a recent one.
 func (g *Gauge) Pause(now time.Time) time.Duration {
 	if now.Sub(g.seen) > staleAfter {
@@ -84,10 +94,9 @@
 // Seats returns the number of streams at which the mean pause, or that of the slowest passes, reaches its aim.
 // A pass grows with the streams from the time of its bare token steps.
 func (g *Gauge) Seats(now time.Time, s *site.Service, gap time.Duration, ranks int) int {
-	even := float64(s.Stride) * s.Sequence.Seconds() / float64(max(ranks, 1))
-	mean := usualSkew * even
+	mean := usualSkew * even(s, ranks)
 	if now.Sub(g.seen) <= staleAfter && g.running >= 1 {
-		mean = math.Max((g.pause-bare(s))/g.running, even/2)
+		mean = math.Max((g.pause-bare(s))/g.running, even(s, ranks)/2)
 	}
 	seats := (meanShare*gap.Seconds() - bare(s)) / mean
 	faded := g.worst * math.Exp2(-now.Sub(g.seen).Seconds()/worstHalfLife.Seconds())
--- a/internal/process/gateway/gateway_stream.go
+++ b/internal/process/gateway/gateway_stream.go
@@ -100,7 +100,8 @@
 		pause := now.Sub(s.last)
 		p.counts.pause.Observe(pause.Seconds())
 		p.mu.Lock()
-		p.gauge(s.service.Name).Observe(now, pause, p.registry.Running(s.service.Name), s.service, s.route.Gap)
+		name := s.service.Name
+		p.gauge(name).Observe(now, pause, p.registry.Running(name), p.registry.Open(name), s.service, s.route.Gap)
 		p.mu.Unlock()
 	}
 	s.last = now
