Check the switch by hold with random schedules, and mend the two faults that it found

Found by TestEveryPassHasOneMap with 30,000 and 60,000 schedules: - seed 5305 (1 of 5,300): after an abort a slot restarted, heard the lead's older news and armed alone. Now the arm phase names the incarnations of the slots that prepared, and no other arms. - seed 32824 (1 of 32,800): a lead was killed while its own disarm order was late; its successor found all ranks armed and released them, then the order was carried out in the idle group. Now ranks are released after a restart only when no late order can disarm one. Entries that know their configuration to be old refuse unknown keys and routes with 503 instead of 401 and 404.

--- a/internal/group/hold/attempt.go
+++ b/internal/group/hold/attempt.go
@@ -46,10 +46,15 @@
 	Step uint64
 	// Map is known in PhasePrepare.
 	Map [][][]int
+	// Lives are the incarnations of the slots that prepared, by rank, from PhaseArm on: news of the lead may reach
+	// a slot that has restarted since, which must not arm.
+	Lives []uint64
 }
 
 // State is what a slot tells the other slots of its rank.
 type State struct {
+	// Life is the incarnation of the slot.
+	Life  uint64
 	Group string
 	Epoch uint64
 	Rank  int
@@ -60,6 +65,8 @@
 	Map, Prepared, Armed, At, Held uint64
 	// Clean tells that no order of the slot, or of its predecessor, can still be carried out.
 	Clean bool
+	// Firm tells that no order can be carried out late that would disarm the rank.
+	Firm bool
 	// Ballot and Phase are those of the attempt that the slot follows.
 	Ballot Ballot
 	Phase  Phase
--- a/internal/group/hold/core.go
+++ b/internal/group/hold/core.go
@@ -37,6 +37,8 @@
 
 // Core is the part of one rank's slot in the switches of its group. It is not safe for concurrent use.
 type Core struct {
+	// rules are the safety rules; tests weaken one at a time.
+	rules rules
 	// incarnation is that of the slot process.
 	incarnation uint64
 	// engine is the newest report; it means nothing until known is set.
@@ -64,6 +66,25 @@
 	notes []Note
 }
 
+// rules are the safety rules of the switch.
+type rules struct {
+	// late reports whether an order that was given so long ago can no longer be carried out.
+	late func(age time.Duration) bool
+	// unanimous reports whether enough ranks are armed to release them.
+	unanimous func(armed, ranks int) bool
+	// silence reports whether a rank that does not answer proves that no release is on its way.
+	silence func() bool
+	// firm reports whether late disarm orders may be forgotten.
+	firm func() bool
+}
+
+var safeRules = rules{
+	late:      func(age time.Duration) bool { return age > lateTime },
+	unanimous: func(armed, ranks int) bool { return armed == ranks },
+	silence:   func() bool { return false },
+	firm:      func() bool { return false },
+}
+
 // heard is a state and the time at which it came.
 type heard struct {
 	State
@@ -81,7 +102,7 @@
 
 // New returns a Core that has not read its engine yet. Its predecessor's orders may still be carried out.
 func New(now time.Time, incarnation uint64) *Core {
-	return &Core{incarnation: incarnation, ranks: map[int]heard{}, past: now, lead: lead{state: leadChart.Start}}
+	return &Core{rules: safeRules, incarnation: incarnation, ranks: map[int]heard{}, past: now, lead: lead{state: leadChart.Start}}
 }
 
 // Report takes a report that was read while no order was in progress, or after it ended.
@@ -158,8 +179,8 @@
 func (c *Core) State(now time.Time) State {
 	e := &c.engine
 	return State{
-		Group: e.Group, Epoch: e.Epoch, Rank: e.Rank, Size: e.Size, Open: e.Open, Step: e.Step, Map: e.Map, Prepared: e.Prepared,
-		Armed: e.Armed, At: e.At, Held: e.Held, Clean: c.clean(now), Ballot: c.following.Ballot, Phase: c.following.Phase,
+		Life: c.incarnation, Group: e.Group, Epoch: e.Epoch, Rank: e.Rank, Size: e.Size, Open: e.Open, Step: e.Step, Map: e.Map, Prepared: e.Prepared,
+		Armed: e.Armed, At: e.At, Held: e.Held, Clean: c.clean(now), Firm: !c.disarming(now) && !c.pastRisk(now), Ballot: c.following.Ballot, Phase: c.following.Phase,
 		Refused: c.refused,
 	}
 }
--- a/internal/group/hold/follow.go
+++ b/internal/group/hold/follow.go
@@ -56,6 +56,10 @@
 			return c.order(Order{Kind: OrderPrepare, Version: f.Version, Map: f.Map})
 		}
 	case PhaseArm:
+		if c.engine.Rank >= len(f.Lives) || f.Lives[c.engine.Rank] != c.incarnation {
+			c.refused = true
+			return nil
+		}
 		if c.engine.Armed == 0 && c.engine.Map != f.Version && c.engine.Prepared == f.Version && !c.refused {
 			return c.order(Order{Kind: OrderArm, Version: f.Version, Step: f.Step})
 		}
--- /dev/null
+++ b/internal/group/hold/hold_test.go
@@ -0,0 +1,120 @@
+package hold
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// walks is the number of random schedules of each test.
+var walks = flag.Int("walks", 400, "random schedules of each test")
+
+const (
+	// length is the number of events in a schedule.
+	length = 4000
+	// settleRounds is the time, in rounds of 50 ms, in which a group must be at rest again once faults have ended:
+	// until late orders are over, and a switch.
+	settleRounds = 400
+)
+
+// TestEveryPassHasOneMap plays random schedules with late and lost orders, lost and overtaken news,
+// restarted slots and groups that form anew.
+func TestEveryPassHasOneMap(t *testing.T) {
+	is := is.New(t)
+	switches := 0
+	for seed := range uint64(*walks) {
+		w := newWorld(seed, nil)
+		for range length {
+			if w.act(); w.broken != "" {
+				t.Fatalf("seed %d: %s", seed, w.broken)
+			}
+		}
+		switches += w.switches
+	}
+	t.Logf("%d switches in %d schedules", switches, *walks)
+	// Schedules without switches would prove nothing.
+	is.True(2*switches > *walks)
+}
+
+// TestGroupGoesOnAfterFaults ends all faults at a random moment: no hold may stay, and the next switch must succeed.
+func TestGroupGoesOnAfterFaults(t *testing.T) {
+	for seed := range uint64(*walks) {
+		w := newWorld(seed, nil)
+		for range 200 + int(seed) {
+			w.act()
+		}
+		w.settle(settleRounds)
+		if held := w.engines[0].Held; held != 0 || !w.slots[0].Ready(w.now) {
+			t.Fatalf("seed %d: held at %d, lead %s, ready %v", seed, held, w.slots[0].lead.state, w.slots[0].Ready(w.now))
+		}
+		before := w.switches
+		w.slots[0].Begin(w.now, [][][]int{{{0}, {1}, {2}}})
+		w.settle(40)
+		if w.switches != before+1 || w.broken != "" {
+			t.Fatalf("seed %d: %d switches, lead %s, broken %q", seed, w.switches-before, w.slots[0].lead.state, w.broken)
+		}
+	}
+}
+
+// TestCheckFindsWeakRules weakens one rule at a time; the schedules must find each.
+func TestCheckFindsWeakRules(t *testing.T) {
+	tests := []struct {
+		name   string
+		weaken func(*Core)
+	}{
+		{"late arm orders are forgotten", func(c *Core) { c.rules.late = func(time.Duration) bool { return true } }},
+		{"released while a rank is not armed", func(c *Core) { c.rules.unanimous = func(armed, ranks int) bool { return armed >= ranks-1 } }},
+		{"silence proves that no release is on its way", func(c *Core) { c.rules.silence = func() bool { return true } }},
+	}
+	for _, v := range tests {
+		t.Run(v.name, func(t *testing.T) {
+			for seed := range uint64(20 * *walks) {
+				w := newWorld(seed, v.weaken)
+				for range length {
+					if w.act(); w.broken != "" {
+						t.Logf("seed %d: %s", seed, w.broken)
+						return
+					}
+				}
+			}
+			t.Error("not found")
+		})
+	}
+}
+
+// TestSwitchWithoutFaults counts what one switch takes.
+func TestSwitchWithoutFaults(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, nil)
+	w.settle(5)
+	is.True(w.slots[0].Begin(w.now, [][][]int{{{0}, {1}, {2}}}))
+	w.settle(8)
+	is.Equal(w.switches, 1)
+	is.Equal(w.slots[0].lead.state, stateResting)
+	is.Equal(w.engines[0].Held, uint64(0))
+}
+
+// TestSeedsThatFailed plays schedules that broke the rule once.
+func TestSeedsThatFailed(t *testing.T) {
+	tests := []struct {
+		name string
+		seed uint64
+	}{
+		// A restarted slot armed for an attempt that its predecessor had seen given up.
+		{"news for an earlier process", 5305},
+		// A restarted lead released ranks of which one was still to be disarmed.
+		{"late disarm order", 32824},
+	}
+	for _, v := range tests {
+		t.Run(v.name, func(t *testing.T) {
+			w := newWorld(v.seed, nil)
+			for range length {
+				if w.act(); w.broken != "" {
+					t.Fatal(w.broken)
+				}
+			}
+		})
+	}
+}
--- a/internal/group/hold/late.go
+++ b/internal/group/hold/late.go
@@ -22,7 +22,7 @@
 	if l == nil {
 		return false
 	}
-	if c.engine.Step >= l.Step || c.engine.Prepared > l.Version || now.Sub(l.sent) > lateTime {
+	if c.engine.Step >= l.Step || c.engine.Prepared > l.Version || c.rules.late(now.Sub(l.sent)) {
 		c.looseArm = nil
 		return false
 	}
@@ -35,7 +35,7 @@
 		return false
 	}
 	unused := c.engine.Prepared != 0 && c.engine.Prepared != c.engine.Map
-	if !unused || c.engine.Prepared == c.kept || now.Sub(c.past) > lateTime {
+	if !unused || c.engine.Prepared == c.kept || c.rules.late(now.Sub(c.past)) {
 		c.past = time.Time{}
 		return false
 	}
@@ -53,7 +53,7 @@
 	if l == nil {
 		return false
 	}
-	if c.engine.Armed != l.Version || now.Sub(l.sent) > lateTime {
+	if c.engine.Armed != l.Version || c.rules.late(now.Sub(l.sent)) {
 		c.looseDisarm = nil
 		return false
 	}
--- a/internal/group/hold/lead.go
+++ b/internal/group/hold/lead.go
@@ -35,13 +35,28 @@
 
 // all reports whether every rank told lately that a condition holds.
 func (c *Core) all(now time.Time, condition func(State) bool) bool {
+	return c.count(now, condition) == c.engine.Size && c.engine.Size > 0
+}
+
+// count returns the number of ranks that told lately that a condition holds.
+func (c *Core) count(now time.Time, condition func(State) bool) (n int) {
 	for rank := range c.engine.Size {
-		h, ok := c.ranks[rank]
-		if !ok || now.Sub(h.at) > stateAge || !condition(h.State) {
-			return false
+		if h, ok := c.ranks[rank]; ok && now.Sub(h.at) <= stateAge && condition(h.State) {
+			n++
 		}
 	}
-	return c.engine.Size > 0
+	return n
+}
+
+// armed reports whether all ranks follow the attempt and are armed for its step.
+func (c *Core) armed(now time.Time, version, step uint64) bool {
+	n := c.count(now, func(s State) bool { return c.followed(s) && s.Armed == version && s.At == step })
+	return c.rules.unanimous(n, c.engine.Size)
+}
+
+// firm reports whether no rank can be disarmed by an order that is carried out late.
+func (c *Core) firm(now time.Time) bool {
+	return c.rules.firm() || c.all(now, func(s State) bool { return c.followed(s) && s.Firm })
 }
 
 // followed reports whether a rank follows the lead's attempt in its present phase.
@@ -162,6 +177,10 @@
 		c.endLead("an order of an earlier attempt was carried out")
 	case c.all(now, func(s State) bool { return c.followed(s) && s.Prepared == version }):
 		c.move("all")
+		c.lead.attempt.Lives = make([]uint64, c.engine.Size)
+		for rank := range c.lead.attempt.Lives {
+			c.lead.attempt.Lives[rank] = c.ranks[rank].Life
+		}
 		c.lead.step, c.lead.due = 0, now.Add(armTime)
 	case now.After(c.lead.due):
 		c.endLead("not all ranks prepared in time")
@@ -196,7 +215,7 @@
 func (c *Core) stepArming(now time.Time) {
 	a := c.lead.attempt
 	switch {
-	case c.all(now, func(s State) bool { return c.followed(s) && s.Armed == a.Version && s.At == a.Step }):
+	case c.armed(now, a.Version, a.Step):
 		c.move("all")
 		c.note("release", "all ranks are armed")
 	case now.After(c.lead.due), c.any(func(s State) bool { return c.followed(s) && s.Refused }):
@@ -209,10 +228,10 @@
 func (c *Core) stepSettling(now time.Time) {
 	version := c.engine.Armed
 	switch {
-	case version != 0 && c.all(now, func(s State) bool { return c.followed(s) && s.Armed == version && s.At == c.lead.step }):
+	case version != 0 && c.armed(now, version, c.lead.step) && c.firm(now):
 		c.move("all")
 		c.note("release", "all ranks are armed")
-	case c.engine.Armed == 0, c.any(func(s State) bool { return c.followed(s) && s.Armed != version }):
+	case c.engine.Armed == 0, c.rules.silence(), c.any(func(s State) bool { return c.followed(s) && s.Armed != version }):
 		c.abort("not all ranks are armed")
 	}
 }
--- a/internal/process/gateway/gateway_serve.go
+++ b/internal/process/gateway/gateway_serve.go
@@ -84,7 +84,7 @@
 	}
 	v.version = c.Version
 	if v.route = c.Match(v.Host, v.Path); v.route == nil {
-		v.refuse(http.StatusNotFound, "no route", 0)
+		v.deny(http.StatusNotFound, "no route")
 		return false
 	}
 	v.priority = v.route.Priority
@@ -110,7 +110,7 @@
 func (v *request) authorize(c *site.Configuration) bool {
 	workspace, ok := c.Workspaces[v.Key]
 	if !ok {
-		v.refuse(http.StatusUnauthorized, "unknown key", 0)
+		v.deny(http.StatusUnauthorized, "unknown key")
 		return false
 	}
 	if age, ok := v.process.age(); !ok {
@@ -124,6 +124,15 @@
 	return true
 }
 
+// deny refuses what the configuration does not know. Where a newer one may be in force, only another entry can tell.
+func (v *request) deny(status int, reason string) {
+	if age, ok := v.process.age(); !ok {
+		v.refuse(http.StatusServiceUnavailable, reason+" in a configuration that is old: "+age.String(), shortAdvice)
+		return
+	}
+	v.refuse(status, reason, 0)
+}
+
 // age returns how long ago the configuration was known to be the newest, and whether that is recent enough for keys.
 func (p *Process) age() (time.Duration, bool) {
 	now, ok := p.Boot.Now()
--- a/internal/process/sidecar/sidecar_test.go
+++ b/internal/process/sidecar/sidecar_test.go
@@ -63,7 +63,9 @@
 		Settings: &site.Settings{Name: "slot", Service: "desk", Peers: netip.MustParseAddrPort("127.0.0.1:7000")},
 		Engine: Engine{
 			Report: f.report, Order: f.order,
-			Counts:  func(context.Context) (hold.Counts, error) { return hold.Counts{Epoch: 1, Chosen: make([]uint64, 4)}, nil },
+			Counts: func(context.Context) (hold.Counts, error) {
+				return hold.Counts{Epoch: 1, Chosen: make([]uint64, 4)}, nil
+			},
 			Experts: func(context.Context) (hold.Held, error) { return hold.Held{Map: 5, Experts: [][]int{{0, 2}}}, nil },
 		},
 		Log: slog.New(slog.DiscardHandler), Incarnation: 9, Now: time.Now,
