--- /dev/null
+++ b/internal/edge/events/events_test.go
@@ -0,0 +1,59 @@
+package events
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestSplitter(t *testing.T) {
+	tests := []struct {
+		name string
+		// answers are the chunks of each target's answer.
+		answers  [][]string
+		want     string
+		last     string
+		complete bool
+	}{
+		{"whole events pass at once", [][]string{{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}}, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "2", true},
+		{"an event in pieces", [][]string{{"id: 1\nda", "ta: a\n", "\n"}}, "id: 1\ndata: a\n\n", "1", true},
+		{"an event that never ends", [][]string{{"id: 1\ndata: a\n\nid: 2\nda"}}, "id: 1\ndata: a\n\n", "1", false},
+		{"the next target goes on", [][]string{{"id: 1\ndata: a\n\nid: 2\nda"}, {"id: 2\ndata: b\n\n"}}, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "2", true},
+		{"the next target repeats", [][]string{{"id: 7\ndata: a\n\n"}, {"id: 6\ndata: z\n\nid: 7\ndata: a\n\nid: 8\ndata: b\n\n"}}, "id: 7\ndata: a\n\nid: 8\ndata: b\n\n", "8", true},
+		{"events without an ID", [][]string{{"data: a\n\ndata: b\n\n"}}, "data: a\n\ndata: b\n\n", "", true},
+	}
+	for _, v := range tests {
+		t.Run(v.name, func(t *testing.T) {
+			is := is.New(t)
+			var s Splitter
+			var out strings.Builder
+			for _, answer := range v.answers {
+				s.Resume()
+				for _, chunk := range answer {
+					out.Write(s.Add([]byte(chunk)))
+				}
+			}
+			is.Equal(out.String(), v.want)
+			is.Equal(s.Last(), v.last)
+			is.Equal(s.Complete(), v.complete)
+		})
+	}
+}
+
+// FuzzSplitter cuts a stream anywhere: what passes is a prefix that ends with a whole event.
+func FuzzSplitter(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", 5)
+	f.Add("data: a\n\n\n\n", 9)
+	f.Fuzz(func(t *testing.T, text string, cut int) {
+		if cut < 0 || cut > len(text) {
+			return
+		}
+		var s Splitter
+		s.Resume()
+		out := string(s.Add([]byte(text[:cut]))) + string(s.Add([]byte(text[cut:])))
+		if !strings.HasPrefix(text, out) || out != "" && !strings.HasSuffix(out, "\n\n") {
+			t.Fatalf("%q passes as %q", text, out)
+		}
+	})
+}
--- a/internal/edge/seat/seat.go
+++ b/internal/edge/seat/seat.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	// waitShare is the part of its goal that a request may wait for a seat.
-	waitShare = 1.0 / 8
+	// waitShare is the part of its goal that a request may wait for a seat: with the time until the line is looked at
+	// again, a refusal comes within an eighth of the goal (RULES: a later one has a price).
+	waitShare = 0.09
 	// lateShare is the part of the seats up to which requests that can no longer be on time are taken.
 	lateShare = 0.85
 	// leastAdvice and mostAdvice bound the time after which a refused caller may come back:
