--- /dev/null
+++ b/internal/operator/logs/logs_test.go
@@ -0,0 +1,62 @@
+package logs
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// stuck is an output that takes nothing.
+type stuck struct{ release chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return len(p), nil
+}
+
+// TestWriterNeverBlocks writes far more than the output takes; the excess is dropped and counted.
+func TestWriterNeverBlocks(t *testing.T) {
+	is := is.New(t)
+	s := stuck{release: make(chan struct{})}
+	defer close(s.release)
+	w := NewWriter(s)
+	line := []byte(strings.Repeat("x", 1023) + "\n")
+	began := time.Now()
+	for range 10_000 {
+		n, err := w.Write(line)
+		is.NoErr(err)
+		is.Equal(n, len(line))
+	}
+	is.True(time.Since(began) < time.Second)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	is.True(len(w.lines) <= room)
+	is.True(w.dropped > 0)
+}
+
+func TestWriterSaysWhatItDropped(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	w := NewWriter(&out)
+	w.credit = 10
+	_, err := w.Write([]byte("short\n"))
+	is.NoErr(err)
+	_, err = w.Write([]byte("too long for the rest\n"))
+	is.NoErr(err)
+	w.Close()
+	is.Equal(out.String(), "short\nlevel=WARN msg=\"log lines dropped\" count=1\n")
+}
+
+func TestErrorsAreOneLine(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	w := NewWriter(&out)
+	New(w).Warn("store lost", "error", errors.New("connection refused"))
+	w.Close()
+	is.True(strings.Contains(out.String(), `level=WARN msg="store lost" error="connection refused"`))
+	is.Equal(strings.Count(out.String(), "\n"), 1)
+}
--- /dev/null
+++ b/internal/proof/edge/rig_test.go
@@ -0,0 +1,308 @@
+// Package edge proves what an entry on the users' platform must hold, against small stand-ins of store and targets.
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/base/boottime"
+	"github.com/dragonflydeal/dragonflydeal/internal/fleet/site"
+	"github.com/dragonflydeal/dragonflydeal/internal/process/gateway"
+	"github.com/dragonflydeal/dragonflydeal/platform"
+)
+
+// store is a stand-in of the platform's store.
+type store struct {
+	mu sync.Mutex
+	// values are the encoded items by key, and revision counts changes; guarded by mu.
+	values   map[string]json.RawMessage
+	revision int64
+	// away makes all calls fail.
+	away atomic.Bool
+}
+
+func (s *store) put(key string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	item, err := json.Marshal(map[string]any{"key": key, "value": data, "rev": s.revision})
+	if err != nil {
+		panic(err)
+	}
+	s.values[key] = item
+}
+
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.away.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	query := r.URL.Query()
+	switch strings.TrimPrefix(r.URL.Path, "/dragonflydeal/") {
+	case "kv-key":
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		value, ok := s.values[query.Get("key")]
+		if !ok {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		fmt.Fprint(w, strings.TrimSuffix(string(value), "}")+`,"asOf":`+strconv.FormatInt(s.revision, 10)+"}")
+	case "kv-range":
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		items := []json.RawMessage{}
+		for key, value := range s.values {
+			if strings.HasPrefix(key, query.Get("prefix")) {
+				items = append(items, value)
+			}
+		}
+		json.NewEncoder(w).Encode(map[string]any{"items": items, "hasMore": false, "asOf": s.revision})
+	case "kv-watch":
+		s.watch(w, query.Get("prefix"), query.Get("after"), query.Get("waitMs"))
+	}
+}
+
+func (s *store) watch(w http.ResponseWriter, prefix, after, wait string) {
+	from, _ := strconv.ParseInt(after, 10, 64)
+	limit, _ := strconv.Atoi(wait)
+	for began := time.Now(); ; time.Sleep(5 * time.Millisecond) {
+		events := []json.RawMessage{}
+		s.mu.Lock()
+		for key, value := range s.values {
+			var item struct{ Rev int64 }
+			if err := json.Unmarshal(value, &item); err == nil && item.Rev > from && strings.HasPrefix(key, prefix) {
+				events = append(events, value)
+			}
+		}
+		revision := s.revision
+		s.mu.Unlock()
+		if len(events) > 0 || time.Since(began) > time.Duration(limit)*time.Millisecond {
+			json.NewEncoder(w).Encode(map[string]any{"events": events, "asOf": revision})
+			return
+		}
+	}
+}
+
+// target is a stand-in of a target; handle runs a request.
+type target struct {
+	*httptest.Server
+	id     string
+	handle http.HandlerFunc
+
+	mu sync.Mutex
+	// arrivals are the headers of the requests that came; guarded by mu.
+	arrivals []http.Header
+}
+
+func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	t.mu.Lock()
+	t.arrivals = append(t.arrivals, r.Header.Clone())
+	t.mu.Unlock()
+	t.handle(w, r)
+}
+
+func (t *target) count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.arrivals)
+}
+
+// rig is one entry before a store and targets.
+type rig struct {
+	t       *testing.T
+	store   *store
+	targets []*target
+	front   string
+	ready   string
+	stop    context.CancelFunc
+	// ended is closed when the entry has ended.
+	ended chan struct{}
+}
+
+// Headers and answers of well-behaved targets.
+const (
+	testKey   = "k-1"
+	testSpace = "school"
+)
+
+// echo answers as the target that a request wants.
+func echo(w http.ResponseWriter, r *http.Request, status int, body string) {
+	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+	w.Header().Set("Engine-Seal", "seal")
+	w.WriteHeader(status)
+	io.WriteString(w, body)
+}
+
+func serveWell(w http.ResponseWriter, r *http.Request) { echo(w, r, http.StatusOK, "done") }
+
+func refuse(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// reset runs the request and breaks the connection.
+func reset(w http.ResponseWriter, r *http.Request) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		conn.(*net.TCPConn).SetLinger(0)
+		conn.Close()
+	}
+}
+
+// newRig starts an entry; the targets handle requests in the order in which the entry prefers them.
+func newRig(t *testing.T, revoke time.Duration, handlers ...http.HandlerFunc) *rig {
+	t.Helper()
+	r := &rig{t: t, store: &store{values: map[string]json.RawMessage{}}, ended: make(chan struct{})}
+	storeServer := httptest.NewServer(r.store)
+	t.Cleanup(storeServer.Close)
+	r.configure(1, testKey)
+	for i, handle := range handlers {
+		x := &target{id: fmt.Sprintf("i-%d", i), handle: handle}
+		x.Server = httptest.NewServer(x)
+		t.Cleanup(x.Close)
+		r.targets = append(r.targets, x)
+		r.list(x, i, "ready")
+	}
+	front, ready := freePort(t), freePort(t)
+	r.front, r.ready = "http://"+front.String(), "http://"+ready.String()
+	boot, err := boottime.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := platform.NewStore(netip.MustParseAddrPort(storeServer.Listener.Addr().String()))
+	p := gateway.New(gateway.Options{
+		Settings: &site.Settings{
+			Name: "entry", Centre: "c0", Peers: freePort(t), Metrics: freePort(t), Callers: front, Ready: ready, History: 20 * time.Second,
+			Grace: 8 * time.Second, Revoke: revoke, Retries: site.RetryBound{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
+		},
+		Dialect: gateway.Dialect{
+			ReadCall: platform.ReadCall, NewRequest: platform.NewRequest, ReadAnswer: platform.ReadAnswer, WriteID: platform.WriteID,
+		},
+		Store: gateway.Store{Configuration: s.Configuration, Changed: s.Changed, Targets: s.Targets, Close: s.Close},
+		Log:   slog.New(slog.DiscardHandler), Random: rand.New(rand.NewPCG(1, 2)), Now: time.Now, Boot: boot,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
+	go func() {
+		defer close(r.ended)
+		if err := p.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(func() { cancel(); <-r.ended })
+	r.await(func() bool { return r.status(r.ready) == http.StatusOK })
+	r.await(func() bool { return r.call("GET", "/warm/", nil).status == http.StatusOK || len(handlers) == 0 })
+	return r
+}
+
+// freePort returns a loopback address that nobody listens at.
+func freePort(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func (r *rig) await(condition func() bool) {
+	r.t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	r.t.Fatal("the entry did not get ready")
+}
+
+// list publishes a target; targets with a higher number are farther away.
+func (r *rig) list(x *target, number int, state string) {
+	r.store.put("servers/"+x.id, map[string]any{
+		"service": "holds", "addr": x.Listener.Addr().String(), "zone": fmt.Sprintf("c%d", number), "slots": 6, "state": state, "born": 1,
+	})
+}
+
+// configure publishes a configuration with one key; the target of /warm/ is part of the rig.
+func (r *rig) configure(version int, key string) {
+	route := func(name, kind string, attempts int, resumable bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": "desk.example", "prefix": "/" + name + "/", "kind": kind, "timeoutMs": 2000, "goalMs": 500,
+			"priority": 1, "service": "holds", "attempts": attempts, "resumable": resumable, "gapAimMs": 120,
+		}
+	}
+	warm := route("warm", "safe", 1, false)
+	warm["public"] = true
+	r.store.put("op/config", map[string]any{
+		"version":  version,
+		"services": []any{map[string]any{"name": "holds"}},
+		"tenants":  []any{map[string]any{"name": testSpace, "apiKeys": []string{key}}},
+		"limits":   map[string]any{"maxBodyBytes": 1 << 20},
+		"routes": []any{
+			route("once", "unsafe", 1, false), route("safe", "safe", 2, false),
+			route("stream", "stream", 2, true), route("fixed", "stream", 1, false), warm,
+		},
+	})
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	// err tells that the answer broke off.
+	err error
+}
+
+var attempts atomic.Int64
+
+// call sends one request on a connection of its own.
+func (r *rig) call(method, path string, edit func(*http.Request)) answer {
+	q, err := http.NewRequest(method, r.front+path, nil)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	q.Host = "desk.example"
+	q.Header.Set("Attempt-Id", strconv.FormatInt(attempts.Add(1), 16))
+	q.Header.Set("Timeout-Ms", "1500")
+	q.Header.Set("Authorization", "Bearer "+testKey)
+	if edit != nil {
+		edit(q)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(q)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+}
+
+func (r *rig) status(url string) int {
+	response, err := http.Get(url)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	return response.StatusCode
+}
