--- a/internal/group/balance/relief.go
+++ b/internal/group/balance/relief.go
@@ -28,7 +28,7 @@
 	if s.mean == 0 {
 		return current, 0
 	}
-	first, best, bestNet, since := s.worst(), current, 0.0, 0
+	first, best, bestNet, since := s.worst(), current.Clone(), 0.0, 0
 	spent := 0
 	for since < reliefPatience {
 		c, ok := s.best()
@@ -40,7 +40,7 @@
 		since++
 		net := (first-s.worst())/s.mean - o.Price*float64(spent)
 		if net > bestNet {
-			best, bestNet, loaded, since = s.Clone(), net, spent, 0
+			best, bestNet, since = s.Clone(), net, 0
 		}
 	}
 	for _, held := range best.Ranks {
--- a/internal/group/load/load.go
+++ b/internal/group/load/load.go
@@ -212,12 +212,12 @@
 
 // price returns the fall of a set's skew that pays for one loaded expert.
 func (p *Planner) price() float64 {
-	return copyPrice.Seconds() / horizon.Seconds() * float64(p.Sets) / p.Experts.Share
+	return copyPrice.Seconds() / horizon.Seconds() * float64(p.Sets) / p.Share
 }
 
 // pass returns the time of a pass over that of an even group, for a mean skew of the sets.
 func (p *Planner) pass(skew float64) float64 {
-	return 1 - p.Experts.Share + p.Experts.Share*skew
+	return 1 - p.Share + p.Share*skew
 }
 
 func sum(values []float64) (total float64) {
--- a/internal/operator/commands/commands.go
+++ b/internal/operator/commands/commands.go
@@ -74,12 +74,22 @@
 	return report(parser.Subcommand().(command).run(ctx, stdout, stderr), stderr)
 }
 
+// usageError tells what is wrong with the arguments.
+type usageError string
+
+// Error implements the error interface.
+func (e usageError) Error() string { return string(e) }
+
 // report prints an error and returns its exit code.
 func report(err error, stderr io.Writer) int {
 	var faults document.Faults
+	var usage usageError
 	switch {
 	case err == nil:
 		return ExitOK
+	case errors.As(err, &usage):
+		fmt.Fprintln(stderr, "error:", usage)
+		return ExitUsage
 	case errors.As(err, &faults):
 		fmt.Fprintln(stderr, faults)
 		return ExitUsage
--- a/internal/operator/commands/processes.go
+++ b/internal/operator/commands/processes.go
@@ -7,8 +7,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/ansel1/merry/v2"
-
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/settings"
 	"github.com/dragonflydeal/dragonflydeal/internal/process/entryd"
 	"github.com/dragonflydeal/dragonflydeal/internal/process/node"
@@ -57,7 +55,7 @@
 // options reads the settings and opens the log.
 func (c *process) options(stderr io.Writer, role settings.Role) (o node.Options, err error) {
 	if c.Settings == "" {
-		return node.Options{}, merry.New("--settings is required: name the settings file")
+		return node.Options{}, usageError("SETTINGS is required")
 	}
 	s, err := settings.Load(c.Settings, role)
 	if err != nil {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -181,7 +181,7 @@
 	}
 	server.ErrorLog = slog.NewLogLogger(p.Log.Handler(), slog.LevelDebug)
 	group.Go(func() error {
-		stop := context.AfterFunc(ctx, func() { server.Close() })
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 		defer stop()
 		err := server.Serve(l)
 		if ctx.Err() != nil || errors.Is(err, http.ErrServerClosed) {
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -151,7 +151,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", p.set)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, ErrorLog: slog.NewLogLogger(p.Log.Handler(), slog.LevelDebug)}
-	context.AfterFunc(ctx, func() { server.Close() })
+	context.AfterFunc(ctx, func() { _ = server.Close() })
 	group.Go(func() error {
 		if err := server.Serve(l); ctx.Err() == nil {
 			return err
--- a/internal/proof/edge/edge_test.go
+++ b/internal/proof/edge/edge_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -32,7 +31,7 @@
 	}
 	unsealed := func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
-		io.WriteString(w, "no seal")
+		fmt.Fprint(w, "no seal")
 	}
 	truncated := func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Length", "100")
@@ -41,7 +40,7 @@
 	garbage := func(w http.ResponseWriter, r *http.Request) {
 		conn, _, err := http.NewResponseController(w).Hijack()
 		if err == nil {
-			io.WriteString(conn, "no answer at all\r\n\r\n")
+			fmt.Fprint(conn, "no answer at all\r\n\r\n")
 			conn.Close()
 		}
 	}
@@ -136,11 +135,11 @@
 	w.Header().Set("Engine-Seal", "seal")
 	for i := from; i <= to; i++ {
 		fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
-		http.NewResponseController(w).Flush()
+		_ = http.NewResponseController(w).Flush()
 	}
 	if broken {
 		fmt.Fprintf(w, "id: %d\ndata: pie", to+1)
-		http.NewResponseController(w).Flush()
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -153,8 +152,8 @@
 	}
 	half := whole[:strings.Index(whole, "id: 4")]
 	goOn := func(w http.ResponseWriter, r *http.Request) {
-		from := 0
-		fmt.Sscanf(r.Header.Get("Last-Event-Id"), "%d", &from)
+		// Without the header the stream begins with its first event.
+		from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 		tell(w, r, from+1, 6, false)
 	}
 	breakOff := func(w http.ResponseWriter, r *http.Request) { tell(w, r, 1, 3, true) }
@@ -266,7 +265,7 @@
 		ended <- time.Now()
 	}))
 	client := &http.Client{Timeout: 300 * time.Millisecond}
-	q, err := http.NewRequest("POST", r.front+"/once/", nil)
+	q, err := http.NewRequest(http.MethodPost, r.front+"/once/", nil)
 	is.NoErr(err)
 	q.Host = "desk.example"
 	q.Header.Set("Attempt-Id", "leaver")
--- a/internal/proof/edge/rig_test.go
+++ b/internal/proof/edge/rig_test.go
@@ -75,12 +75,18 @@
 				items = append(items, value)
 			}
 		}
-		json.NewEncoder(w).Encode(map[string]any{"items": items, "hasMore": false, "asOf": s.revision})
+		reply(w, map[string]any{"items": items, "hasMore": false, "asOf": s.revision})
 	case "kv-watch":
 		s.watch(w, query.Get("prefix"), query.Get("after"), query.Get("waitMs"))
 	}
 }
 
+func reply(w http.ResponseWriter, value any) {
+	if err := json.NewEncoder(w).Encode(value); err != nil {
+		panic(err)
+	}
+}
+
 func (s *store) watch(w http.ResponseWriter, prefix, after, wait string) {
 	from, _ := strconv.ParseInt(after, 10, 64)
 	limit, _ := strconv.Atoi(wait)
@@ -96,7 +102,7 @@
 		revision := s.revision
 		s.mu.Unlock()
 		if len(events) > 0 || time.Since(began) > time.Duration(limit)*time.Millisecond {
-			json.NewEncoder(w).Encode(map[string]any{"events": events, "asOf": revision})
+			reply(w, map[string]any{"events": events, "asOf": revision})
 			return
 		}
 	}
@@ -149,7 +155,7 @@
 	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
 	w.Header().Set("Engine-Seal", "seal")
 	w.WriteHeader(status)
-	io.WriteString(w, body)
+	fmt.Fprint(w, body)
 }
 
 func serveWell(w http.ResponseWriter, r *http.Request) { echo(w, r, http.StatusOK, "done") }
@@ -163,7 +169,7 @@
 func reset(w http.ResponseWriter, r *http.Request) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err == nil {
-		conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.(*net.TCPConn).SetLinger(0)
 		conn.Close()
 	}
 }
--- a/internal/wire/datagram/datagram.go
+++ b/internal/wire/datagram/datagram.go
@@ -47,7 +47,7 @@
 
 // Receive passes each datagram to take until the context ends. Bytes that cannot be read are counted by reject.
 func (s *Socket) Receive(ctx context.Context, take func(from netip.AddrPort, news *message.News), reject func(error)) error {
-	stop := context.AfterFunc(ctx, func() { s.conn.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = s.conn.Close() })
 	defer stop()
 	buffer := make([]byte, largest)
 	for {
