--- a/internal/edge/seat/seat.go
+++ b/internal/edge/seat/seat.go
@@ -20,8 +20,6 @@
 
 // Waiter is a request that wants a seat.
 type Waiter struct {
-	// ID is the request's identity.
-	ID string
 	// Priority is the rank of the request; zero is first.
 	Priority int
 	// Late tells that the answer can no longer be on time.
@@ -49,11 +47,11 @@
 }
 
 // Offer decides on a new request: it gets a seat, waits, or is refused at once.
-func (l *Line) Offer(now time.Time, w *Waiter, running, seats int) (decided, admitted bool) {
+func (l *Line) Offer(w *Waiter, running, seats int) (decided, admitted bool) {
 	if len(l.waiters) == 0 && fits(w, running, seats) {
 		return true, true
 	}
-	if w.Late || !l.hopeful(now, w, running, seats) {
+	if w.Late || !l.hopeful(w, running, seats) {
 		return true, false
 	}
 	i, _ := slices.BinarySearchFunc(l.waiters, w, compare)
@@ -63,7 +61,7 @@
 
 // hopeful reports whether a seat may become free within the time that a request may wait:
 // streams that hold the seats leave one by one, so only a short line has a chance.
-func (l *Line) hopeful(_ time.Time, w *Waiter, running, seats int) bool {
+func (l *Line) hopeful(w *Waiter, running, seats int) bool {
 	ahead := 0
 	for _, v := range l.waiters {
 		if compare(v, w) <= 0 {
--- a/internal/edge/seat/seat_test.go
+++ b/internal/edge/seat/seat_test.go
@@ -62,7 +62,7 @@
 func (p *play) arrive(expected float64, span time.Duration, seats func(now time.Time) int) {
 	for n := int(expected + p.random.Float64()); n > 0; n-- {
 		w := &Waiter{Arrived: p.now.Add(time.Duration(p.random.Int64N(int64(span)))), Goal: goal, Gap: gap, Done: make(chan bool, 1)}
-		switch decided, admitted := p.line.Offer(w.Arrived, w, len(p.streams), seats(w.Arrived)); {
+		switch decided, admitted := p.line.Offer(w, len(p.streams), seats(w.Arrived)); {
 		case decided && admitted:
 			p.streams = append(p.streams, stream{left: events})
 		case decided:
@@ -192,11 +192,11 @@
 			is := is.New(t)
 			var l Line
 			if v.hasWaiter {
-				l.Offer(now, &Waiter{Arrived: now, Goal: goal, Done: make(chan bool, 1)}, 64, 64)
+				l.Offer(&Waiter{Arrived: now, Goal: goal, Done: make(chan bool, 1)}, 64, 64)
 			}
 			w := v.w
 			w.Arrived, w.Goal, w.Done = now, goal, make(chan bool, 1)
-			decided, admitted := l.Offer(now, &w, v.running, 64)
+			decided, admitted := l.Offer(&w, v.running, 64)
 			is.Equal(decided, v.decided)
 			is.Equal(admitted, v.admitted)
 		})
@@ -212,7 +212,7 @@
 	for _, priority := range []int{2, 0, 1} {
 		w := &Waiter{Priority: priority, Arrived: now, Goal: goal, Done: make(chan bool, 1)}
 		waiters = append(waiters, w)
-		l.Offer(now, w, 64, 64)
+		l.Offer(w, 64, 64)
 	}
 	is.Equal(l.Move(now, 63, 64), 1)
 	is.True(<-waiters[1].Done)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/target"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/site"
 	"github.com/dragonflydeal/dragonflydeal/internal/operator/metrics"
+	"github.com/dragonflydeal/dragonflydeal/internal/process/node"
 	"github.com/dragonflydeal/dragonflydeal/internal/wire/datagram"
 )
 
@@ -152,7 +153,7 @@
 	group.Go(func() error { p.followConfiguration(work); return nil })
 	group.Go(func() error { p.followTargets(work); return nil })
 	group.Go(func() error { p.tellPeers(work); return nil })
-	group.Go(func() error { every(work, tickInterval, p.tick); return nil })
+	group.Go(func() error { node.Every(work, tickInterval, p.tick); return nil })
 	group.Go(func() error { return p.await(ctx, work, callers, cancel) })
 	p.Log.Info("start", "role", "entry", "name", p.settings.Load().Name, "centre", p.settings.Load().Centre, "incarnation", p.incarnation)
 	return group.Wait()
@@ -192,20 +193,6 @@
 	return nil
 }
 
-// every calls at an interval until the context ends.
-func every(ctx context.Context, interval time.Duration, call func()) {
-	t := time.NewTicker(interval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			call()
-		}
-	}
-}
-
 // tick moves the lines of waiting requests on.
 func (p *Process) tick() {
 	p.mu.Lock()
--- a/internal/process/gateway/gateway_follow.go
+++ b/internal/process/gateway/gateway_follow.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/site"
+	"github.com/dragonflydeal/dragonflydeal/internal/process/node"
 )
 
 const (
@@ -52,7 +53,7 @@
 				p.Log.Warn("store lost", "call", "configuration", "error", err, "version", p.version())
 			}
 			reachable = false
-			sleep(ctx, retryPause)
+			node.Pause(ctx, retryPause)
 			continue
 		}
 		if !reachable {
@@ -66,7 +67,7 @@
 			p.current.Store(int64(asked))
 		}
 		if p.configuration.Load() == nil {
-			sleep(ctx, retryPause)
+			node.Pause(ctx, retryPause)
 		}
 	}
 }
@@ -126,7 +127,7 @@
 				p.Log.Warn("store lost", "call", "targets", "error", err)
 			}
 			reachable = false
-			sleep(ctx, retryPause)
+			node.Pause(ctx, retryPause)
 			continue
 		}
 		if !reachable {
@@ -134,7 +135,7 @@
 		}
 		reachable = true
 		p.applyTargets(list)
-		sleep(ctx, listPause)
+		node.Pause(ctx, listPause)
 	}
 }
 
@@ -156,13 +157,3 @@
 		p.Log.Info("target "+c.Event, "target", c.ID, "service", c.Service, "address", c.Address, "centre", c.Centre, "own", c.Own)
 	}
 }
-
-// sleep waits for a time or the end of the context.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/process/gateway/gateway_peers.go
+++ b/internal/process/gateway/gateway_peers.go
@@ -6,7 +6,7 @@
 	"net/netip"
 	"time"
 
-	"github.com/dragonflydeal/dragonflydeal/internal/edge/mesh"
+	"github.com/dragonflydeal/dragonflydeal/internal/process/node"
 	"github.com/dragonflydeal/dragonflydeal/internal/wire/datagram"
 	"github.com/dragonflydeal/dragonflydeal/internal/wire/message"
 )
@@ -21,7 +21,7 @@
 // tellPeers sends the own load to the other entries.
 func (p *Process) tellPeers(ctx context.Context) {
 	var told time.Time
-	every(ctx, tellInterval, func() {
+	node.Every(ctx, tellInterval, func() {
 		now := p.Now()
 		news, addresses := p.news(now, now.Sub(told) >= tellIdle)
 		if news == nil {
@@ -71,9 +71,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Now()
-	peer, fresh := p.mesh.Hear(now, mesh.Peer{
-		Address: from, Name: n.Name, Centre: n.Centre, Slot: n.Slot, Incarnation: n.Incarnation, Sequence: n.Sequence,
-	})
+	peer, fresh := datagram.Hear(now, p.mesh, from, n)
 	if peer == nil {
 		p.counts.datagrams.With("event", "old").Add(1)
 		return
@@ -81,9 +79,6 @@
 	if fresh {
 		p.Log.Info("peer heard", "peer", n.Name, "address", from, "incarnation", n.Incarnation)
 	}
-	for _, v := range n.Neighbours {
-		p.mesh.Mention(now, netip.AddrPortFrom(datagram.FromNumber(v.Address), p.settings.Load().Peers.Port()), v.Slot)
-	}
 	if n.Slot {
 		if err := p.socket.Send(p.head(), []netip.AddrPort{from}); err != nil {
 			p.counts.datagrams.With("event", "unsent").Add(1)
--- a/internal/process/gateway/gateway_run.go
+++ b/internal/process/gateway/gateway_run.go
@@ -95,7 +95,7 @@
 func (v *request) takeSeat() bool {
 	p := v.process
 	w := &seat.Waiter{
-		ID: v.ID, Priority: v.priority, Late: v.late(), Arrived: v.began, Goal: v.route.Goal, Gap: v.route.Gap, Done: make(chan bool, 1),
+		Priority: v.priority, Late: v.late(), Arrived: v.began, Goal: v.route.Goal, Gap: v.route.Gap, Done: make(chan bool, 1),
 	}
 	p.mu.Lock()
 	name := v.service.Name
@@ -105,7 +105,7 @@
 		p.lines[name] = line
 	}
 	running, seats := p.occupancy(v.service, v.route.Gap)
-	decided, admitted := line.Offer(p.Now(), w, running, seats)
+	decided, admitted := line.Offer(w, running, seats)
 	if decided && admitted {
 		p.seated[name]++
 	}
--- a/internal/process/gateway/gateway_stop.go
+++ b/internal/process/gateway/gateway_stop.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/process/node"
 )
 
 const (
@@ -34,7 +36,7 @@
 	began := p.Now()
 	p.stopping.Store(true)
 	p.Log.Info("stop", "step", "not ready", "grace", p.settings.Load().Grace)
-	sleep(work, rotationTime)
+	node.Pause(work, rotationTime)
 	p.closed.Store(true)
 	p.Log.Info("stop", "step", "closing connections")
 	left := time.Duration(stopShare*float64(p.settings.Load().Grace)) - p.Now().Sub(began)
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -20,6 +20,7 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/group/hold"
 	"github.com/dragonflydeal/dragonflydeal/internal/group/load"
 	"github.com/dragonflydeal/dragonflydeal/internal/operator/metrics"
+	"github.com/dragonflydeal/dragonflydeal/internal/process/node"
 	"github.com/dragonflydeal/dragonflydeal/internal/wire/datagram"
 )
 
@@ -173,7 +174,7 @@
 			wait = readPause
 			p.accept(c)
 		}
-		sleep(ctx, wait)
+		node.Pause(ctx, wait)
 	}
 }
 
@@ -200,16 +201,6 @@
 	p.Log.Info("configuration in force", "version", c.Version, "sets", service.Experts.Sets, "experts", service.Experts.Count)
 }
 
-// sleep waits for a time or the end of the context.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // counts are the metrics of the process.
 type counts struct {
 	// orders counts orders by kind and outcome, switches the attempts of this lead by end.
--- a/internal/process/sidecar/sidecar_peers.go
+++ b/internal/process/sidecar/sidecar_peers.go
@@ -4,7 +4,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/dragonflydeal/dragonflydeal/internal/edge/mesh"
 	"github.com/dragonflydeal/dragonflydeal/internal/group/hold"
 	"github.com/dragonflydeal/dragonflydeal/internal/wire/datagram"
 	"github.com/dragonflydeal/dragonflydeal/internal/wire/message"
@@ -79,9 +78,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Now()
-	peer, fresh := p.mesh.Hear(now, mesh.Peer{
-		Address: from, Name: n.Name, Centre: n.Centre, Slot: n.Slot, Incarnation: n.Incarnation, Sequence: n.Sequence,
-	})
+	peer, fresh := datagram.Hear(now, p.mesh, from, n)
 	if peer == nil {
 		p.counts.datagrams.With("event", "old").Add(1)
 		return
@@ -89,9 +86,6 @@
 	if fresh {
 		p.Log.Info("peer heard", "peer", n.Name, "address", from, "incarnation", n.Incarnation)
 	}
-	for _, v := range n.Neighbours {
-		p.mesh.Mention(now, netip.AddrPortFrom(datagram.FromNumber(v.Address), p.settings.Load().Peers.Port()), v.Slot)
-	}
 	if n.Rank == nil {
 		return
 	}
--- a/internal/wire/datagram/datagram.go
+++ b/internal/wire/datagram/datagram.go
@@ -7,10 +7,12 @@
 	"encoding/binary"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/dragonflydeal/dragonflydeal/internal/edge/mesh"
 	"github.com/dragonflydeal/dragonflydeal/internal/wire/message"
 )
 
@@ -67,6 +69,22 @@
 	}
 }
 
+// Hear takes the sender of news, and the processes that it heard, into a mesh.
+// It returns nil for news that are older than others of the same process, and whether the sender is new or has restarted.
+func Hear(now time.Time, m *mesh.Mesh, from netip.AddrPort, n *message.News) (p *mesh.Peer, fresh bool) {
+	p, fresh = m.Hear(now, mesh.Peer{
+		Address: from, Name: n.Name, Centre: n.Centre, Slot: n.Slot, Incarnation: n.Incarnation, Sequence: n.Sequence,
+	})
+	if p == nil {
+		return nil, false
+	}
+	for _, v := range n.Neighbours {
+		// All processes of a site use the same port.
+		m.Mention(now, netip.AddrPortFrom(FromNumber(v.Address), from.Port()), v.Slot)
+	}
+	return p, fresh
+}
+
 // Address returns an IPv4 address as a number.
 func Address(a netip.Addr) uint32 {
 	b := a.Unmap().As4()
