--- a/internal/operator/logs/logs.go
+++ b/internal/operator/logs/logs.go
@@ -20,7 +20,9 @@
 
 // Writer passes whole lines on in the background. It is safe for concurrent use.
 type Writer struct {
-	out io.Writer
+	// writing is held while out is written to, which may block.
+	writing sync.Mutex
+	out     io.Writer
 
 	mu sync.Mutex
 	// lines wait for the writer; guarded by mu.
@@ -72,8 +74,14 @@
 
 // flush writes what waits.
 func (w *Writer) flush() {
+	w.writing.Lock()
+	defer w.writing.Unlock()
+	lines := w.take(time.Now())
+	if len(lines) == 0 {
+		return
+	}
 	// A log that cannot be written has no other place to say so.
-	_, _ = w.out.Write(w.take(time.Now()))
+	_, _ = w.out.Write(lines)
 }
 
 // take returns what waits, with a line on what was dropped.
