Give the entry's tests ports that no one else takes

Cause: the tests asked the kernel for a free port and closed it again; until the entry listened there, an outgoing connection or another test could take it ('bind: address already in use' in TestKeysOutliveTheStore/1, once in a run of many packages).

--- a/internal/proof/edge/rig_test.go
+++ b/internal/proof/edge/rig_test.go
@@ -224,15 +224,33 @@
 	return r
 }
 
+const (
+	// testHost is a loopback address that no other package's tests use.
+	testHost = "127.9.0.1"
+	// firstPort and lastPort bound the ports of the entries: outgoing connections take higher ones.
+	firstPort, lastPort = 20_000, 30_000
+)
+
+// nextPort is the port that was given out last; none is given out twice.
+var nextPort atomic.Int32
+
+func init() {
+	nextPort.Store(firstPort)
+}
+
 // freePort returns a loopback address that nobody listens at.
 func freePort(t *testing.T) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for port := nextPort.Add(1); port < lastPort; port = nextPort.Add(1) {
+		l, err := net.Listen("tcp4", testHost+":"+strconv.Itoa(int(port)))
+		if err != nil {
+			continue
+		}
+		l.Close()
+		return netip.AddrPortFrom(netip.MustParseAddr(testHost), uint16(port))
 	}
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String())
+	t.Fatal("no port is free")
+	return netip.AddrPort{}
 }
 
 func (r *rig) await(condition func() bool) {
