Drop derived state and unread fields, and share the bookkeeping of the two map searches

Read as a newcomer would: the gateway kept 'certain' beside the count of runs and 'begun' beside 'wrote', dropped the rest of an event just before it broke the connection, and loaded the configuration a second time for one request; the adapter decoded fields that nothing read; balance.Relieve had its own copy of the loads, shifts and exchanges of the older search. Both now embed balance.tally, with their own power as the weight of a rank. No bound, limit or decision changes.

--- a/internal/edge/call/call.go
+++ b/internal/edge/call/call.go
@@ -24,8 +24,6 @@
 	Limit time.Duration
 	// Key is the caller's key, or empty.
 	Key string
-	// Prompt and Answer are the number of tokens of the prompt and the most of the answer, or zero.
-	Prompt, Answer int
 	// After is the last event that the caller of a stream has.
 	After string
 }
--- a/internal/fleet/site/configuration.go
+++ b/internal/fleet/site/configuration.go
@@ -21,10 +21,6 @@
 	Keyed bool
 	// Body is the largest body of a request in bytes.
 	Body int64
-	// Idle is the time after which an idle connection of a caller may be closed.
-	Idle time.Duration
-	// Size is the length of the encoded configuration in bytes.
-	Size int
 
 	// hosts holds the routes of each host, the longest prefix first.
 	hosts map[string][]*Route
@@ -92,8 +88,6 @@
 	Spare int
 	// Share is the part of a token's work that experts do.
 	Share float64
-	// Size is the size of one expert in bytes.
-	Size int64
 }
 
 // Workspace is the owner of a key.
@@ -132,6 +126,14 @@
 	}
 }
 
+// Service returns a service by name; one that is not described is a plain service.
+func (c *Configuration) Service(name string) *Service {
+	if s := c.Services[name]; s != nil {
+		return s
+	}
+	return &Service{Name: name}
+}
+
 // Match returns the route of a request, or nil.
 func (c *Configuration) Match(host, path string) *Route {
 	for _, r := range c.hosts[host] {
--- a/internal/fleet/site/settings.go
+++ b/internal/fleet/site/settings.go
@@ -50,8 +50,6 @@
 	Revoke time.Duration
 	// Retries bounds what all entries together send beyond the first attempts.
 	Retries RetryBound
-	// Stall is the time for which a group waits for a dead rank.
-	Stall time.Duration
 	// Memory is the limit of the process in bytes.
 	Memory int64
 }
--- a/internal/group/balance/relief.go
+++ b/internal/group/balance/relief.go
@@ -49,38 +49,18 @@
 	return best, Moves(current, best)
 }
 
-// reliefSearch is a map that is changed step by step.
+// reliefSearch is a map that is changed step by step; its ranks are equally fast.
 type reliefSearch struct {
-	*Placement
+	*tally
 	Relief
-	loads []float64
-	// n is the number of replicas of each expert.
-	n []int
-	// holders lists the ranks of each expert.
-	holders [][]int
-	// times are the loads of the ranks, and mean is their mean.
-	times []float64
-	mean  float64
 	// fresh is the number of experts that were added to each rank.
 	fresh []int
-	// scratch holds the changed times of a candidate.
-	scratch []float64
-	touched []int
 }
 
 func newReliefSearch(o Relief, p *Placement, loads []float64) *reliefSearch {
-	s := &reliefSearch{Placement: p.Clone(), Relief: o, loads: loads, n: p.Replicas(len(loads)), fresh: make([]int, len(p.Ranks))}
-	s.holders = make([][]int, len(loads))
-	for r, held := range s.Ranks {
-		for _, e := range held {
-			s.holders[e] = append(s.holders[e], r)
-		}
-	}
-	s.times = s.Times(loads, nil)
-	for _, t := range s.times {
-		s.mean += t / float64(len(s.times))
-	}
-	s.scratch = slices.Clone(s.times)
+	equal := slices.Repeat([]float64{1}, len(p.Ranks))
+	s := &reliefSearch{tally: newTally(p, loads, equal), Relief: o, fresh: make([]int, len(p.Ranks))}
+	s.potential = s.eighth
 	return s
 }
 
@@ -117,28 +97,11 @@
 	return 1
 }
 
-// potential weighs the busiest ranks most.
-func (s *reliefSearch) potential(time float64) float64 {
+// eighth is the eighth power, so that the busiest ranks weigh most.
+func (s *reliefSearch) eighth(time float64) float64 {
 	return math.Pow(time/s.mean, 8)
 }
 
-func (s *reliefSearch) shift(rank int, load float64) {
-	if !slices.Contains(s.touched, rank) {
-		s.touched = append(s.touched, rank)
-	}
-	s.scratch[rank] += load
-}
-
-// settle returns the fall of the potential and forgets the candidate.
-func (s *reliefSearch) settle() (gain float64) {
-	for _, r := range s.touched {
-		gain += s.potential(s.times[r]) - s.potential(s.scratch[r])
-		s.scratch[r] = s.times[r]
-	}
-	s.touched = s.touched[:0]
-	return gain
-}
-
 // spread changes the loads of an expert's holders from n to m replicas.
 func (s *reliefSearch) spread(expert, m int, without int) {
 	for _, r := range s.holders[expert] {
@@ -150,12 +113,7 @@
 
 // best returns the change of the busiest rank with the largest gain for its cost.
 func (s *reliefSearch) best() (best reliefChange, ok bool) {
-	from := 0
-	for r, t := range s.times {
-		if t > s.times[from] {
-			from = r
-		}
-	}
+	from := s.slowest()
 	for _, expert := range s.Ranks[from] {
 		if s.n[expert] > 1 {
 			s.considerDrop(&best, from, expert)
@@ -205,9 +163,7 @@
 }
 
 func (s *reliefSearch) considerSwap(best *reliefChange, from, expert, to, other int) {
-	difference := s.loads[expert]/float64(s.n[expert]) - s.loads[other]/float64(s.n[other])
-	s.shift(from, -difference)
-	s.shift(to, difference)
+	s.exchange(from, to, expert, other)
 	if gain := s.settle() / 2; gain > best.gain {
 		*best = reliefChange{from: from, expert: expert, to: to, other: other, swap: true, gain: gain}
 	}
@@ -227,8 +183,7 @@
 			s.add(c.from, c.other)
 		}
 	}
-	copy(s.times, s.Times(s.loads, nil))
-	copy(s.scratch, s.times)
+	s.refresh()
 }
 
 func (s *reliefSearch) drop(rank, expert int) {
--- a/internal/group/balance/search.go
+++ b/internal/group/balance/search.go
@@ -7,37 +7,12 @@
 
 // search improves a placement by single changes, each from the slowest rank.
 type search struct {
-	*Placement
-	// loads are shares of the whole load.
-	loads []float64
-	// slowness of each rank; one for an ordinary rank.
-	slowness []float64
-	// n is the number of replicas of each expert.
-	n []int
-	// holders lists the ranks of each expert.
-	holders [][]int
-	// times are those of the ranks.
-	times []float64
-	// mean is the mean time at the start.
-	mean float64
-	// scratch holds the changed times of a candidate, by rank.
-	scratch []float64
-	touched []int
+	*tally
 }
 
 func newSearch(p *Placement, loads, slowness []float64) *search {
-	s := &search{Placement: p.Clone(), loads: loads, slowness: slowness, n: p.Replicas(len(loads))}
-	s.holders = make([][]int, len(loads))
-	for r, held := range s.Ranks {
-		for _, e := range held {
-			s.holders[e] = append(s.holders[e], r)
-		}
-	}
-	s.times = s.Times(loads, slowness)
-	for _, t := range s.times {
-		s.mean += t / float64(len(s.times))
-	}
-	s.scratch = slices.Clone(s.times)
+	s := &search{tally: newTally(p, loads, slowness)}
+	s.potential = s.sixteenth
 	return s
 }
 
@@ -58,8 +33,8 @@
 	return 1
 }
 
-// potential is the sixteenth power, so that the slowest ranks weigh most.
-func (s *search) potential(time float64) float64 {
+// sixteenth is the sixteenth power, so that the slowest ranks weigh most.
+func (s *search) sixteenth(time float64) float64 {
 	x := time / s.mean
 	x *= x
 	x *= x
@@ -67,24 +42,6 @@
 	return x * x
 }
 
-// shift notes that a rank's time changes in the candidate.
-func (s *search) shift(rank int, load float64) {
-	if !slices.Contains(s.touched, rank) {
-		s.touched = append(s.touched, rank)
-	}
-	s.scratch[rank] += load * s.slowness[rank]
-}
-
-// settle returns the fall of the potential and forgets the candidate.
-func (s *search) settle() (gain float64) {
-	for _, r := range s.touched {
-		gain += s.potential(s.times[r]) - s.potential(s.scratch[r])
-		s.scratch[r] = s.times[r]
-	}
-	s.touched = s.touched[:0]
-	return gain
-}
-
 // replace returns the gain when rank drops a spare replica of other for one more of expert.
 func (s *search) replace(rank, expert, other int) float64 {
 	e, o := s.loads[expert], s.loads[other]
@@ -102,20 +59,13 @@
 
 // swap returns the gain when two ranks exchange two experts.
 func (s *search) swap(from, rank, expert, other int) float64 {
-	difference := s.loads[expert]/float64(s.n[expert]) - s.loads[other]/float64(s.n[other])
-	s.shift(from, -difference)
-	s.shift(rank, difference)
+	s.exchange(from, rank, expert, other)
 	return s.settle()
 }
 
 // best returns the change with the largest gain for its cost.
 func (s *search) best() (best step, ok bool) {
-	slowest := 0
-	for r, t := range s.times {
-		if t > s.times[slowest] {
-			slowest = r
-		}
-	}
+	slowest := s.slowest()
 	for _, expert := range s.Ranks[slowest] {
 		for rank, held := range s.Ranks {
 			if rank == slowest || slices.Contains(held, expert) {
@@ -152,8 +102,7 @@
 		s.put(t.from, t.expert, t.other)
 	}
 	s.n[t.expert], s.n[t.other] = len(s.holders[t.expert]), len(s.holders[t.other])
-	copy(s.times, s.Times(s.loads, s.slowness))
-	copy(s.scratch, s.times)
+	s.refresh()
 }
 
 func (s *search) put(rank, old, expert int) {
--- a/internal/process/gateway/gateway_attempt.go
+++ b/internal/process/gateway/gateway_attempt.go
@@ -77,7 +77,6 @@
 	s := &stream{request: v}
 	var failure *stored
 	result, reason := outcomeNotRun, "no target"
-	certain := true
 	for v.sends < mostSends {
 		if v.sends > 0 && !v.again(result) {
 			break
@@ -94,14 +93,13 @@
 		}
 		if result != outcomeNotRun {
 			v.runs++
-			certain = false
 		}
 		if result == outcomeServed || result == outcomeLeft {
 			v.finish(result.String(), reason)
 			return
 		}
 	}
-	v.fail(s, certain, failure, reason)
+	v.fail(failure, reason)
 }
 
 // again reports whether a request may be sent once more after an attempt.
@@ -123,11 +121,11 @@
 }
 
 // fail gives the caller the best true answer to a request that no target served.
-func (v *request) fail(s *stream, certain bool, failure *stored, reason string) {
+func (v *request) fail(failure *stored, reason string) {
+	certain := v.runs == 0
 	switch {
 	case v.wrote:
 		// The head is with the caller, so only a broken connection can show that the rest is missing.
-		s.discard()
 		v.finish("broken", reason)
 		panic(http.ErrAbortHandler)
 	case v.caller.Context().Err() != nil:
--- a/internal/process/gateway/gateway_run.go
+++ b/internal/process/gateway/gateway_run.go
@@ -20,12 +20,8 @@
 // run chooses the service of a request, and a seat where the service's engines are a group.
 func (v *request) run() {
 	p := v.process
-	c := p.configuration.Load()
 	name := v.pickService()
-	v.service = c.Services[name]
-	if v.service == nil {
-		v.service = &site.Service{Name: name}
-	}
+	v.service = v.configuration.Service(name)
 	p.mu.Lock()
 	p.budget(name).Request(p.Now())
 	open := p.registry.Open(name)
@@ -150,11 +146,7 @@
 
 // moveLine gives free seats to waiting requests; mu is held.
 func (p *Process) moveLine(service string, line *seat.Line) {
-	c := p.configuration.Load()
-	s := c.Services[service]
-	if s == nil {
-		s = &site.Service{Name: service}
-	}
+	s := p.configuration.Load().Service(service)
 	running, seats := p.occupancy(s, line.Gap())
 	p.seated[service] += line.Move(p.Now(), running, seats)
 }
--- a/internal/process/gateway/gateway_serve.go
+++ b/internal/process/gateway/gateway_serve.go
@@ -25,16 +25,16 @@
 type request struct {
 	process *Process
 	*call.Call
-	writer    http.ResponseWriter
-	caller    *http.Request
-	route     *site.Route
-	service   *site.Service
-	workspace string
-	priority  int
+	writer http.ResponseWriter
+	caller *http.Request
+	// configuration decides all of the request, also when a newer one comes meanwhile.
+	configuration *site.Configuration
+	route         *site.Route
+	service       *site.Service
+	workspace     string
+	priority      int
 	// began is when the request was read, and deadline when its answer must have ended.
 	began, deadline time.Time
-	// version is the configuration that decided.
-	version int64
 	// tried holds the targets that had the request, and runs counts those that may have run it.
 	tried map[string]bool
 	runs  int
@@ -82,7 +82,7 @@
 		v.refuse(http.StatusServiceUnavailable, "no configuration yet", shortAdvice)
 		return false
 	}
-	v.version = c.Version
+	v.configuration = c
 	if v.route = c.Match(v.Host, v.Path); v.route == nil {
 		v.deny(http.StatusNotFound, "no route")
 		return false
@@ -180,5 +180,5 @@
 	}
 	age, _ := p.age()
 	p.Log.Info("request ended", "id", v.ID, "route", route, "workspace", v.workspace, "outcome", outcome, "reason", reason,
-		"took", took, "sends", v.sends, "runs", v.runs, "version", v.version, "age", age)
+		"took", took, "sends", v.sends, "runs", v.runs, "version", versionOf(v.configuration), "age", age)
 }
--- a/internal/process/gateway/gateway_stream.go
+++ b/internal/process/gateway/gateway_stream.go
@@ -20,8 +20,6 @@
 	*request
 	// splitter finds whole events and drops those that the caller has.
 	splitter events.Splitter
-	// begun tells that the head went to the caller.
-	begun bool
 	// last is when the newest event came, or zero.
 	last time.Time
 }
@@ -65,7 +63,7 @@
 		case context.Cause(ctx) != nil:
 			err = context.Cause(ctx)
 		}
-		if s.begun {
+		if s.wrote {
 			return outcomeBroken, nil, "stream broke off: " + err.Error()
 		}
 		return outcomeUnknown, nil, "stream broke off before its first event: " + err.Error()
@@ -74,10 +72,10 @@
 
 // begin writes the head of the first target's answer.
 func (s *stream) begin(a *call.Answer) {
-	if s.begun {
+	if s.wrote {
 		return
 	}
-	s.begun, s.wrote = true, true
+	s.wrote = true
 	h := s.writer.Header()
 	for name, values := range a.Header {
 		h[name] = values
@@ -106,8 +104,3 @@
 	}
 	s.last = now
 }
-
-// discard forgets the part of an event that never became whole.
-func (s *stream) discard() {
-	s.splitter.Resume()
-}
