Tell the caller of a started idempotent request that it failed, with 502

Cause: a request without a key whose engine died in the run goes to another target. When none is left, the entry answered 503 with the outcome "unknown": 503 promises that nothing ran, and docs/callers.md says "failed" for idempotent routes. This is how TestInnocentsSurviveCrash came to see "unknown": it needs the second engine to die, or none to serve, before the next attempt. Ruled out: a fault of the slots (the outcome is made in exchange.told, the only place that can say "unknown" to a request without a key). Before: TestStartedRequestWithoutTargetFails, pure code, failed in one of three cases (503 instead of 502).

--- a/internal/core/entry/entry_once.go
+++ b/internal/core/entry/entry_once.go
@@ -158,8 +158,11 @@
 	if outcome != call.OutcomeNotRun || x.certain {
 		return outcome
 	}
-	if x.doubt || x.request.Lookup || x.request.Key != "" {
+	if x.request.Lookup || x.request.Key != "" {
 		return call.OutcomeUnknown
 	}
+	if x.doubt {
+		return call.OutcomeFailed
+	}
 	return outcome
 }
--- a/internal/core/entry/entry_retry.go
+++ b/internal/core/entry/entry_retry.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
@@ -70,7 +71,11 @@
 	return x.request.Attempt == 0 || c.budget(x).Take()
 }
 
-// giveUp ends an exchange without another attempt. What it tells depends on the attempts before.
+// giveUp ends an exchange without another attempt. What it tells depends on the attempts before:
+// 503 promises that the request was not run, so one that a target may have run ends with 502.
 func (c *Core) giveUp(x *exchange, status int, reason string) []Action {
+	if status == http.StatusServiceUnavailable && x.told(call.OutcomeNotRun) != call.OutcomeNotRun {
+		status = http.StatusBadGateway
+	}
 	return c.finish(x, status, call.OutcomeNotRun, reason, c.advice(x))
 }
