Let the loss of a target spread when the watcher that heard it last is gone

Cause: each watcher gets heartbeats of its own, numbered over all of them. An entry that does not watch a target believed only a loss told by a watcher with a heartbeat as new as its own. Change: a loss carries when it was noticed, and outdates all heartbeats made before; it is told again for a minute; a watcher that still hears the target denies the loss. Ruled out: partner choice (two entries miss twelve exchanges each with probability 0.002, and both pass news on). Before: TestLostOutlivesItsWitness and TestLostReachesLatecomers failed. After: they pass, and TestFalseLossIsRefuted guards the other side.

--- a/internal/core/entry/entry_fleet.go
+++ b/internal/core/entry/entry_fleet.go
@@ -118,7 +118,7 @@
 			continue
 		}
 		c.silent[t.Name] = true
-		c.view.Lose(t.Name)
+		c.view.Lose(now, t.Name)
 		c.gossip.Changed(t.Name)
 		actions = append(actions, c.auditTarget(t.Name, m.State, m.Incarnation))
 	}
@@ -140,9 +140,14 @@
 		return nil
 	}
 	for _, h := range d.Reports {
-		if _, ok := c.configuration.Target(h.Target); ok && !c.view.Direct(h.Target) {
-			actions = append(actions, c.hear(now, h)...)
+		if _, ok := c.configuration.Target(h.Target); !ok {
+			continue
+		}
+		if c.view.Direct(h.Target) {
+			c.gossip.Deny(now, h)
+			continue
 		}
+		actions = append(actions, c.hear(now, h)...)
 	}
 	for _, h := range d.Hints {
 		c.hint(now, h)
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -53,6 +53,8 @@
 	Successor string
 	// Age is the time since the report was made, as known to the receiver.
 	Age time.Duration
+	// Silent is the time since a watcher noticed that no heartbeat comes any more; it is zero unless State is lost.
+	Silent time.Duration
 }
 
 // Member is an entry's knowledge of one target.
@@ -61,6 +63,8 @@
 	Heartbeat
 	// Made is the latest time at which the heartbeat can have been made.
 	Made time.Time
+	// noticed is the latest time at which a watcher noticed the silence; it is zero unless the state is lost.
+	noticed time.Time
 }
 
 // View is an entry's knowledge of all targets that it watches.
@@ -128,39 +132,61 @@
 // Accept takes in a heartbeat and reports whether it is news.
 // A repeated or reordered heartbeat of the same incarnation is no news.
 func (v *View) Accept(now time.Time, h Heartbeat) bool {
-	made := now.Add(-h.Age)
+	news := Member{Heartbeat: h, Made: now.Add(-h.Age), noticed: h.noticed(now)}
 	m := v.members[h.Target]
 	if m == nil {
-		v.members[h.Target] = &Member{Heartbeat: h, Made: made}
+		v.members[h.Target] = &news
 		return true
 	}
 	if m.Incarnation == h.Incarnation && h.Sequence <= m.Sequence {
-		return v.lose(m, h)
+		return v.lose(m, &news)
 	}
-	if m.Incarnation != h.Incarnation && made.Before(m.Made) {
+	if m.Incarnation != h.Incarnation && news.Made.Before(m.Made) {
 		return false
 	}
-	m.Heartbeat = h
-	m.Made = made
+	*m = news
 	return true
 }
 
-// lose takes in that the entries which watch a target do not hear it; its own next heartbeat outdates that.
-func (v *View) lose(m *Member, h Heartbeat) bool {
-	if h.State != StateLost || h.Sequence < m.Sequence || m.State == StateLost || v.direct(h.Target) {
+// noticed returns the time at which a watcher noticed the silence, or zero.
+func (h *Heartbeat) noticed(now time.Time) time.Time {
+	if h.State != StateLost || h.Silent <= 0 {
+		return time.Time{}
+	}
+	return now.Add(-h.Silent)
+}
+
+// lose takes in that a watcher does not hear a target; its own next heartbeat outdates that. Each watcher gets
+// heartbeats of its own, so the newest one here may be unknown to the watcher: what it noticed after that counts too.
+func (v *View) lose(m, news *Member) bool {
+	if news.State != StateLost || v.direct(news.Target) {
+		return false
+	}
+	if news.Sequence < m.Sequence && !news.noticed.After(m.Made) {
 		return false
 	}
+	if news.noticed.After(m.noticed) {
+		m.noticed = news.noticed
+	}
+	before := m.State
 	m.State = StateLost
-	return true
+	return before != StateLost
 }
 
 // Lose notes that a watched target has gone silent; only a newer heartbeat outdates that.
-func (v *View) Lose(target string) {
+func (v *View) Lose(now time.Time, target string) {
 	if m := v.members[target]; m != nil {
 		m.State = StateLost
+		m.noticed = now
 	}
 }
 
+// Disputes reports whether this entry has heard a watched target since another one noticed its silence.
+func (v *View) Disputes(now time.Time, h Heartbeat) bool {
+	m, ok := v.Member(now, h.Target)
+	return ok && h.State == StateLost && v.direct(h.Target) && m.State != StateLost && m.Made.After(h.noticed(now))
+}
+
 // Member returns the knowledge of a target, with its state as of now.
 func (v *View) Member(now time.Time, target string) (Member, bool) {
 	m, ok := v.members[target]
--- a/internal/fleet/membership/membership_digest.go
+++ b/internal/fleet/membership/membership_digest.go
@@ -16,6 +16,11 @@
 	hintLife = 10 * time.Second
 	// relayLife is the age of a report that is no longer passed on.
 	relayLife = 5 * time.Minute
+	// lossLife is the time for which a loss is told again to entries that missed it as news: long against the
+	// pauses of a process, short enough that the targets of a lost data centre do not crowd out others for long.
+	lossLife = time.Minute
+	// disputeInterval is the time between two denials of one target's loss; the ages of reports are exact to less.
+	disputeInterval = time.Second
 )
 
 // Digest is what an entry tells another one about targets.
@@ -45,11 +50,15 @@
 	sent map[string]time.Time
 	// hints holds the time at which the list last showed a target as leaving.
 	hints map[string]time.Time
+	// denied holds the time of the latest loss that this entry denied, by target.
+	denied map[string]time.Time
 }
 
 // NewGossip returns a Gossip about the targets of a view.
 func NewGossip(v *View) *Gossip {
-	return &Gossip{view: v, hot: map[string]int{}, sent: map[string]time.Time{}, hints: map[string]time.Time{}}
+	return &Gossip{
+		view: v, hot: map[string]int{}, sent: map[string]time.Time{}, hints: map[string]time.Time{}, denied: map[string]time.Time{},
+	}
 }
 
 // Changed makes a target's state travel before all else.
@@ -57,6 +66,16 @@
 	g.hot[target] = hotSends
 }
 
+// Deny tells others that a target lives which one of them does not hear. A loss is denied once, however often it is told.
+func (g *Gossip) Deny(now time.Time, h Heartbeat) {
+	noticed := h.noticed(now)
+	if !g.view.Disputes(now, h) || noticed.Sub(g.denied[h.Target]) < disputeInterval {
+		return
+	}
+	g.denied[h.Target] = noticed
+	g.Changed(h.Target)
+}
+
 // Urgent reports whether a change waits to be told.
 func (g *Gossip) Urgent() bool {
 	return len(g.hot) > 0
@@ -87,6 +106,10 @@
 		}
 		h := m.Heartbeat
 		h.Age = now.Sub(m.Made)
+		h.Silent = 0
+		if !m.noticed.IsZero() {
+			h.Silent = max(now.Sub(m.noticed), time.Microsecond)
+		}
 		// Prefixes travel first-hand only; they would outweigh all else.
 		h.Prefixes = nil
 		reports = append(reports, h)
@@ -122,7 +145,7 @@
 	var first []topic
 	for name, m := range g.view.members {
 		t := topic{name: name, hot: g.hot[name], sent: g.sent[name]}
-		if t.hot == 0 && (now.Sub(m.Made) >= relayLife || !m.Made.After(t.sent)) {
+		if t.hot == 0 && !m.due(now, t.sent) {
 			continue
 		}
 		if len(first) == digestItems && t.compare(first[digestItems-1]) > 0 {
@@ -138,6 +161,14 @@
 	return names
 }
 
+// due reports whether a member that is no news goes into a digest again.
+func (m *Member) due(now, sent time.Time) bool {
+	if m.State == StateLost && now.Sub(m.noticed) < lossLife {
+		return true
+	}
+	return now.Sub(m.Made) < relayLife && m.Made.After(sent)
+}
+
 // Hint takes in what the list of instances said at a time that is age ago.
 func (g *Gossip) Hint(now time.Time, h Hint) {
 	if at := now.Add(-h.Age); at.After(g.hints[h.Target]) {
@@ -162,6 +193,7 @@
 		if g.view.members[target] == nil {
 			delete(g.sent, target)
 			delete(g.hot, target)
+			delete(g.denied, target)
 		}
 	}
 }
--- a/internal/fleet/membership/membership_digest_test.go
+++ b/internal/fleet/membership/membership_digest_test.go
@@ -100,7 +100,9 @@
 		}
 		for _, pair := range [][2]int{{i, j}, {j, i}} {
 			for _, h := range c.gossips[pair[0]].Make(c.now, "", true).Reports {
-				if !c.views[pair[1]].Direct(h.Target) {
+				if c.views[pair[1]].Direct(h.Target) {
+					c.gossips[pair[1]].Deny(c.now, h)
+				} else {
 					c.take(pair[1], h)
 				}
 			}
@@ -183,7 +185,7 @@
 	h := Heartbeat{Target: "a", Incarnation: 1, Sequence: 1, State: StateServing}
 	v.Accept(now, h)
 	now = now.Add(2 * time.Second)
-	v.Lose("a")
+	v.Lose(now, "a")
 	v.Watch(nobody, time.Second)
 	m, _ := v.Member(now, "a")
 	is.Equal(m.State, StateLost)
@@ -209,3 +211,74 @@
 	b.Expire(now.Add(hintLife))
 	is.Equal(len(b.Make(now.Add(hintLife), "b", false).Hints), 0)
 }
+
+// TestLostOutlivesItsWitness checks that the loss of a target spreads although the watcher that heard its last
+// heartbeats was lost with it: the other watchers have older ones.
+func TestLostOutlivesItsWitness(t *testing.T) {
+	is := is.New(t)
+	const witness, watcher = 0, 1
+	c := newCrowd(10, func(entry int) func(string) bool { return func(string) bool { return entry <= watcher } })
+	h := Heartbeat{Target: "a", Incarnation: 1, Sequence: 5, State: StateServing}
+	c.take(watcher, h)
+	h.Sequence = 7
+	c.take(witness, h)
+	for range 12 {
+		c.exchange()
+	}
+	is.True(c.agree(Heartbeat{Target: "a", Incarnation: 1, State: StateServing}))
+	c.views, c.gossips = c.views[watcher:], c.gossips[watcher:]
+	c.now = c.now.Add(7 * time.Second)
+	c.lose(0, "a")
+	for range 12 {
+		c.exchange()
+		c.now = c.now.Add(100 * time.Millisecond)
+	}
+	is.True(c.agree(Heartbeat{Target: "a", Incarnation: 1, State: StateLost}))
+}
+
+// TestLostReachesLatecomers checks that a loss is told again: an entry that missed all exchanges in which it was news learns of it.
+func TestLostReachesLatecomers(t *testing.T) {
+	is := is.New(t)
+	c := newCrowd(2, func(entry int) func(string) bool { return func(string) bool { return entry == 0 } })
+	h := Heartbeat{Target: "a", Incarnation: 1, Sequence: 5, State: StateServing}
+	c.take(0, h)
+	c.take(1, h)
+	c.now = c.now.Add(7 * time.Second)
+	c.lose(0, "a")
+	for range 2 * hotSends {
+		c.gossips[0].Make(c.now, "", true)
+		c.now = c.now.Add(100 * time.Millisecond)
+	}
+	for range 12 {
+		c.exchange()
+		c.now = c.now.Add(time.Second)
+	}
+	is.True(c.agree(Heartbeat{Target: "a", Incarnation: 1, State: StateLost}))
+}
+
+// TestFalseLossIsRefuted checks that a loss that one watcher alone sees does not stand against another one that still hears the target.
+func TestFalseLossIsRefuted(t *testing.T) {
+	is := is.New(t)
+	c := newCrowd(10, func(entry int) func(string) bool { return func(string) bool { return entry <= 1 } })
+	h := Heartbeat{Target: "a", Incarnation: 1, Sequence: 5, State: StateServing}
+	c.take(0, h)
+	for i := range 100 {
+		h.Sequence++
+		c.take(1, h)
+		if i == 70 {
+			c.lose(0, "a")
+		}
+		c.exchange()
+		c.now = c.now.Add(100 * time.Millisecond)
+	}
+	for i, v := range c.views {
+		m, _ := v.Member(c.now, "a")
+		is.True(i == 0 || m.State == StateServing)
+	}
+}
+
+// lose lets a watcher notice a target's silence.
+func (c *crowd) lose(entry int, target string) {
+	c.views[entry].Lose(c.now, target)
+	c.gossips[entry].Changed(target)
+}
