Tell the story of a request from the logs of all processes

'dragonflydeal explain ID' reads logs from standard input: how the request ended, the nearest causes, its lines and what the processes believed.

--- a/internal/operator/commands/commands.go
+++ b/internal/operator/commands/commands.go
@@ -36,6 +36,7 @@
 	Check   *checkCommand   `arg:"subcommand:check" help:"check settings and configuration files"`
 	Import  *importCommand  `arg:"subcommand:import" help:"make a configuration of an asset register and rules"`
 	Status  *statusCommand  `arg:"subcommand:status" help:"read processes at their operators' addresses"`
+	Explain *explainCommand `arg:"subcommand:explain" help:"tell from logs on standard input what happened to a request on the users' platform"`
 	Version *versionCommand `arg:"subcommand:version" help:"print the version"`
 }
 
--- /dev/null
+++ b/internal/operator/commands/explain.go
@@ -0,0 +1,27 @@
+package commands
+
+import (
+	"context"
+	"errors"
+	"io"
+	"os"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/operator/story"
+)
+
+// explainCommand tells what happened to one request.
+type explainCommand struct {
+	ID string `arg:"positional,required" help:"the request's ID, as the caller sent it"`
+}
+
+// run reads the logs of all processes from standard input.
+func (c *explainCommand) run(_ context.Context, stdout, _ io.Writer) error {
+	s, err := story.Read(os.Stdin, c.ID)
+	if errors.Is(err, story.ErrUnknown) {
+		return usageError("no line of the logs on standard input names request " + c.ID + "; were the logs of all entries given?")
+	}
+	if err != nil {
+		return err
+	}
+	return s.Write(stdout)
+}
--- a/internal/operator/commands/help.go
+++ b/internal/operator/commands/help.go
@@ -23,6 +23,7 @@
 	"status": `  dragonflydeal status 10.1.0.11:7401 10.1.0.21:7401
   dragonflydeal status --changes 5 10.1.0.11:7401
   dragonflydeal status --json 10.1.0.11:7401`,
+	"explain": `  cat entry-*.log slot-*.log | dragonflydeal explain 9c41d07be2a35f68`,
 	"version": `  dragonflydeal version`,
 }
 
--- a/internal/operator/commands/platform.go
+++ b/internal/operator/commands/platform.go
@@ -36,12 +36,13 @@
 }
 
 // openSettings reads the platform's settings file and fits the runtime to its limits.
-func (c *process) openSettings(log *slog.Logger) (f *settingsFile, s *site.Settings, err error) {
-	f = &settingsFile{path: cmp.Or(c.Settings, os.Getenv(platform.SettingsVariable)), log: log}
+func (c *process) openSettings(w *logs.Writer) (f *settingsFile, s *site.Settings, err error) {
+	f = &settingsFile{path: cmp.Or(c.Settings, os.Getenv(platform.SettingsVariable))}
 	f.look()
 	if s, err = platform.ReadSettings(f.path); err != nil {
 		return nil, nil, err
 	}
+	f.log = logs.New(w).With("instance", s.Name)
 	// The machine runs one thread of a process at a time, so more would only hand work to each other.
 	runtime.GOMAXPROCS(1)
 	if s.Memory > 0 {
@@ -95,8 +96,7 @@
 func (c *entryCommand) runGateway(ctx context.Context, stdout io.Writer) error {
 	w := logs.NewWriter(stdout)
 	defer w.Close()
-	log := logs.New(w)
-	file, s, err := c.openSettings(log)
+	file, s, err := c.openSettings(w)
 	if err != nil {
 		return err
 	}
@@ -113,7 +113,7 @@
 		Store: gateway.Store{
 			Configuration: store.Configuration, Changed: store.Changed, Targets: store.Targets, Close: store.Close,
 		},
-		Log: log, Random: source(), Now: time.Now, Boot: boot,
+		Log: file.log, Random: source(), Now: time.Now, Boot: boot,
 	})
 	go file.follow(ctx, p.Reload)
 	return p.Run(ctx)
@@ -122,8 +122,7 @@
 func (c *slotCommand) runSidecar(ctx context.Context, stdout io.Writer) error {
 	w := logs.NewWriter(stdout)
 	defer w.Close()
-	log := logs.New(w)
-	file, s, err := c.openSettings(log)
+	file, s, err := c.openSettings(w)
 	if err != nil {
 		return err
 	}
@@ -132,7 +131,7 @@
 		Settings:      s,
 		Engine:        sidecar.Engine{Report: engine.Report, Counts: engine.Counts, Experts: engine.Experts, Order: engine.Order},
 		Configuration: platform.NewStore(s.Store).Configuration,
-		Log:           log, Incarnation: rand.Uint64(), Now: time.Now,
+		Log:           file.log, Incarnation: rand.Uint64(), Now: time.Now,
 	})
 	go file.follow(ctx, p.Reload)
 	return p.Run(ctx)
--- a/internal/operator/logs/logs.go
+++ b/internal/operator/logs/logs.go
@@ -16,6 +16,8 @@
 	pause = 100 * time.Millisecond
 	// fastest is the number of bytes a second that are written; the rest is dropped.
 	fastest = 64 << 10
+	// timeFormat is how slog writes times.
+	timeFormat = "2006-01-02T15:04:05.000Z07:00"
 )
 
 // Writer passes whole lines on in the background. It is safe for concurrent use.
@@ -47,8 +49,11 @@
 	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{ReplaceAttr: shorten}))
 }
 
-// shorten writes errors without their stack.
+// shorten writes errors without their stack, and leaves out an error that did not happen.
 func shorten(_ []string, a slog.Attr) slog.Attr {
+	if a.Key == "error" && a.Value.Any() == nil {
+		return slog.Attr{}
+	}
 	if err, ok := a.Value.Any().(error); ok {
 		return slog.String(a.Key, err.Error())
 	}
@@ -93,7 +98,9 @@
 	w.credit = min(room, w.credit+int(now.Sub(w.filled).Seconds()*fastest))
 	w.filled = now
 	if w.dropped > 0 {
-		lines = append(lines, `level=WARN msg="log lines dropped" count=`...)
+		lines = append(lines, "time="...)
+		lines = now.AppendFormat(lines, timeFormat)
+		lines = append(lines, ` level=WARN msg="log lines dropped" count=`...)
 		lines = strconv.AppendInt(lines, int64(w.dropped), 10)
 		lines = append(lines, '\n')
 		w.dropped = 0
--- /dev/null
+++ b/internal/operator/story/story_test.go
@@ -0,0 +1,88 @@
+package story
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestStories reads logs of played days and checks that the cause of a failure is found.
+func TestStories(t *testing.T) {
+	tests := []struct {
+		file, id string
+		// causes are parts of the conclusions that are wanted, and beliefs the kinds of line that must be shown.
+		causes, beliefs []string
+		// absent is what must not be concluded.
+		absent string
+	}{
+		{
+			"no-seat.log", "910c68d12472ca45",
+			[]string{"refused, and has not run", "ran 76 requests in 75 seats", "Passes took 1.9 times", "The order prepare"},
+			[]string{"balance", "switch", "order", "store regained"}, "may have run",
+		},
+		{
+			"broken-group.log", "a322e41956aee52d",
+			[]string{"refused, and has not run", "engine 10.2.0.38:8023 is dead or cut off", "Attempt 1 at target i-353e18dc5e ended as not-run"},
+			[]string{"balance", "store lost"}, "may have run",
+		},
+		{
+			"old-keys.log", "e936344eb9c0c396",
+			[]string{"refused, and has not run", "store lost at 12:48:49.513, call configuration: store kv-watch: status 503"},
+			[]string{"store lost", "start"}, "Passes",
+		},
+		{
+			"silent-target.log", "33ca1a6c45a76c31",
+			[]string{"a target may have run it", "Attempt 1 at target i-aa6ab46f13 ended as unknown", "Attempt 2 at target i-a8b4b1f4e3 ended as not-run"},
+			[]string{"start"}, "has not run",
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.file, func(t *testing.T) {
+			is := is.New(t)
+			data, err := os.ReadFile("testdata/" + test.file)
+			is.NoErr(err)
+			s, err := Read(bytes.NewReader(data), test.id)
+			is.NoErr(err)
+			text := strings.Join(s.Causes, "\n")
+			for _, c := range test.causes {
+				is.True(strings.Contains(text, c)) // conclusion
+			}
+			is.True(!strings.Contains(text, test.absent))
+			kinds := map[string]bool{}
+			for i, l := range s.Beliefs {
+				kinds[l.Message] = true
+				is.True(i == 0 || !l.Time.Before(s.Beliefs[i-1].Time))
+			}
+			for _, k := range test.beliefs {
+				is.True(kinds[k]) // belief
+			}
+			var out bytes.Buffer
+			is.NoErr(s.Write(&out))
+			is.True(strings.Contains(out.String(), "What happened to it:"))
+		})
+	}
+}
+
+// TestReadUneven checks that prefixes of collectors, foreign lines and left out lines are told from lines of ours.
+func TestReadUneven(t *testing.T) {
+	is := is.New(t)
+	s, err := Read(strings.NewReader(strings.Join([]string{
+		`node-3 | time=2026-02-26T12:48:37.025Z level=INFO msg="request ended" instance=entry-2 id=a outcome=served reason="" took=1s sends=1`,
+		`panic: something else`,
+		`time=2026-02-26T12:48:37.050Z level=WARN msg="log lines dropped" count=7`,
+		`time=2026-02-26T12:48:37.100Z level=WARN msg="log lines dropped" instance=entry-2 count=5`,
+		`time=yesterday msg=x id=a`,
+		``,
+	}, "\n")), "a")
+	is.NoErr(err)
+	is.Equal(len(s.Lines), 1)
+	is.Equal(s.Unread, 2)
+	is.Equal(s.Dropped, 12)
+	is.Equal(s.Causes[0], "It was served after 1s.")
+	_, err = Read(strings.NewReader(""), "b")
+	is.True(errors.Is(err, ErrUnknown))
+}
--- /dev/null
+++ b/internal/operator/story/write.go
@@ -0,0 +1,58 @@
+package story
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// Write writes a story for people.
+func (s *Story) Write(w io.Writer) error {
+	b := &strings.Builder{}
+	fmt.Fprintf(b, "Request %s\n\n", s.ID)
+	for _, c := range s.Causes {
+		fmt.Fprintf(b, "- %s\n", c)
+	}
+	from, _ := s.span()
+	writeLines(b, "\nWhat happened to it:\n", s.Lines, from)
+	writeLines(b, "\nWhat the processes believed:\n", s.Beliefs, from)
+	if s.Dropped > 0 {
+		fmt.Fprintf(b, "\nThe processes left out %d lines of these logs to keep them bounded.\n", s.Dropped)
+	}
+	if s.Unread > 0 {
+		fmt.Fprintf(b, "\n%d lines are not in the format of this system's logs.\n", s.Unread)
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+// writeLines writes lines with their distance from a time.
+func writeLines(b *strings.Builder, title string, lines []Line, from time.Time) {
+	if len(lines) == 0 {
+		return
+	}
+	b.WriteString(title)
+	t := tabwriter.NewWriter(b, 0, 0, 2, ' ', 0)
+	for _, l := range lines {
+		fmt.Fprintf(t, "  %+.3f s\t%s\t%s\t%s\n", l.Time.Sub(from).Seconds(), l.Instance, l.Message, fields(l))
+	}
+	// A strings.Builder does not fail.
+	_ = t.Flush()
+}
+
+// fields writes the keys of a line but for the request's own.
+func fields(l Line) string {
+	var parts []string
+	for _, f := range l.Fields {
+		switch {
+		case f.Key == "id" || f.Value == "":
+		case strings.ContainsAny(f.Value, " \t"):
+			parts = append(parts, fmt.Sprintf("%s=%q", f.Key, f.Value))
+		default:
+			parts = append(parts, f.Key+"="+f.Value)
+		}
+	}
+	return strings.Join(parts, " ")
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -155,7 +155,7 @@
 	group.Go(func() error { p.tellPeers(work); return nil })
 	group.Go(func() error { node.Every(work, tickInterval, p.tick); return nil })
 	group.Go(func() error { return p.await(ctx, work, callers, cancel) })
-	p.Log.Info("start", "role", "entry", "name", p.settings.Load().Name, "centre", p.settings.Load().Centre, "incarnation", p.incarnation)
+	p.Log.Info("start", "role", "entry", "centre", p.settings.Load().Centre, "incarnation", p.incarnation)
 	return group.Wait()
 }
 
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -138,7 +138,7 @@
 	group.Go(func() error { return p.socket.Receive(ctx, p.hear, p.reject) })
 	group.Go(func() error { p.followEngine(ctx); return nil })
 	group.Go(func() error { p.readConfiguration(ctx); return nil })
-	p.Log.Info("start", "role", "slot", "name", p.settings.Load().Name, "centre", p.settings.Load().Centre, "engine", p.settings.Load().Engine, "incarnation", p.Incarnation)
+	p.Log.Info("start", "role", "slot", "centre", p.settings.Load().Centre, "engine", p.settings.Load().Engine, "incarnation", p.Incarnation)
 	err = group.Wait()
 	p.Log.Info("stop", "error", err)
 	return err
