--- a/internal/operator/metrics/metrics.go
+++ b/internal/operator/metrics/metrics.go
@@ -47,6 +47,12 @@
 	return h
 }
 
+// Names returns the names of the metrics in their order.
+func (s *Set) Names() (names []string) {
+	s.vars.Do(func(v expvar.KeyValue) { names = append(names, v.Key) })
+	return names
+}
+
 // ServeHTTP writes the program's own variables and the set as one JSON object.
 func (s *Set) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
