--- a/internal/group/load/load.go
+++ b/internal/group/load/load.go
@@ -53,8 +53,8 @@
 	// copyPrice is the time of the whole group's work that loading one expert is worth.
 	copyPrice = 14 * time.Millisecond
 	// rankLoads is the number of experts that a rank loads in one switch over all sets: each takes a tenth of a second,
-	// in which the old map stays in use.
-	rankLoads = 3
+	// in which the old map stays in use, and the copies of the one expert per set that is in demand most relieve the most.
+	rankLoads = 1
 	// leastGain is the part of a pass that a switch must save, so that noise moves nothing.
 	leastGain = 0.10
 	// pause is the shortest time between two switches.
