--- a/internal/group/balance/relief.go
+++ b/internal/group/balance/relief.go
@@ -13,6 +13,8 @@
 	Fresh int
 	// Room limits that for each rank further; it may be nil.
 	Room []int
+	// Loads is the largest number of experts that all ranks load together; zero means any.
+	Loads int
 	// Price is the fall of the busiest rank's load, in mean loads, that one loaded expert must bring.
 	Price float64
 }
@@ -35,6 +37,9 @@
 		if !ok {
 			break
 		}
+		if o.Loads > 0 && spent+c.cost() > o.Loads {
+			break
+		}
 		s.apply(c)
 		spent += c.cost()
 		since++
--- a/internal/group/load/load.go
+++ b/internal/group/load/load.go
@@ -46,6 +46,8 @@
 const (
 	// halfLife is the age at which a count weighs half: demand shifts every few seconds and must be followed at once.
 	halfLife = 300 * time.Millisecond
+	// shiftDistance is the part of the demand for a set that must go to other experts for older counts to be forgotten.
+	shiftDistance = 0.25
 	// fewest is the weight of counts, for each expert of a set, below which chance decides what is seen.
 	fewest = 20
 	// horizon is the time for which a map is expected to fit: demand shifts every three seconds or so.
@@ -53,7 +55,7 @@
 	// copyPrice is the time of the whole group's work that loading one expert is worth.
 	copyPrice = 14 * time.Millisecond
 	// rankLoads is the number of experts that a rank loads in one switch over all sets: each takes a tenth of a second,
-	// in which the old map stays in use, and the copies of the one expert per set that is in demand most relieve the most.
+	// in which the old map stays in use.
 	rankLoads = 1
 	// leastGain is the part of a pass that a switch must save, so that noise moves nothing.
 	leastGain = 0.10
@@ -66,6 +68,8 @@
 	site.Experts
 	// loads are faded counts by set and expert.
 	loads [][]float64
+	// recent are the counts since then, by set and expert.
+	recent [][]float64
 	// faded is when loads were faded last.
 	faded time.Time
 	// ranks are the experts that each rank holds, as told in an epoch.
@@ -95,9 +99,9 @@
 
 // NewPlanner returns a Planner that has counted nothing.
 func NewPlanner(e site.Experts) *Planner {
-	p := &Planner{Experts: e, loads: make([][]float64, e.Sets), ranks: map[int]holding{}}
+	p := &Planner{Experts: e, loads: make([][]float64, e.Sets), recent: make([][]float64, e.Sets), ranks: map[int]holding{}}
 	for s := range p.loads {
-		p.loads[s] = make([]float64, e.Count)
+		p.loads[s], p.recent[s] = make([]float64, e.Count), make([]float64, e.Count)
 	}
 	return p
 }
@@ -108,7 +112,7 @@
 		return
 	}
 	for i, n := range fresh {
-		p.loads[i/p.Experts.Count][i%p.Experts.Count] += float64(n)
+		p.recent[i/p.Experts.Count][i%p.Experts.Count] += float64(n)
 	}
 }
 
@@ -126,11 +130,29 @@
 func (p *Planner) Fade(now time.Time) {
 	factor := math.Exp2(-now.Sub(p.faded).Seconds() / halfLife.Seconds())
 	p.faded = now
-	for _, set := range p.loads {
+	for s, set := range p.loads {
+		recent := p.recent[s]
+		if shifted(set, recent, fewest*float64(p.Experts.Count)) {
+			clear(set)
+		}
 		for e := range set {
-			set[e] *= factor
+			set[e] = set[e]*factor + recent[e]
 		}
+		clear(recent)
+	}
+}
+
+// shifted reports whether demand has changed between two counts of one set.
+func shifted(before, recent []float64, least float64) bool {
+	b, r := sum(before), sum(recent)
+	if b < least || r < least {
+		return false
 	}
+	distance := 0.0
+	for e := range before {
+		distance += math.Abs(before[e]/b-recent[e]/r) / 2
+	}
+	return distance > shiftDistance
 }
 
 // placements returns the present maps by set, or nil while some rank's experts are not known.
@@ -164,21 +186,18 @@
 	if maps == nil {
 		return d, false
 	}
-	skew, next := 0.0, 0.0
-	d.Map = make([][][]int, p.Sets)
-	room := slices.Repeat([]int{rankLoads}, size)
-	for _, s := range p.order(maps) {
-		current, loads := maps[s], p.loads[s]
+	for _, loads := range p.loads {
 		if sum(loads) < fewest*float64(p.Experts.Count) {
 			return d, false
 		}
-		o := balance.Relief{Places: p.Places, Fresh: p.Spare, Room: room, Price: p.price()}
-		better, loaded := balance.Relieve(o, current, loads)
-		skew += balance.Skew(current.Times(loads, nil)) / float64(p.Sets)
-		next += balance.Skew(better.Times(loads, nil)) / float64(p.Sets)
-		d.Loaded += loaded
-		d.Map[s] = better.Ranks
-		spend(room, current, better)
+	}
+	better := p.relieve(maps, size)
+	skew, next := 0.0, 0.0
+	for s, m := range maps {
+		skew += balance.Skew(m.Times(p.loads[s], nil)) / float64(p.Sets)
+		next += balance.Skew(better[s].Times(p.loads[s], nil)) / float64(p.Sets)
+		d.Loaded += balance.Moves(m, better[s])
+		d.Map = append(d.Map, better[s].Ranks)
 	}
 	d.Skew, d.Next = p.pass(skew), p.pass(next)
 	if d.Loaded == 0 || (d.Skew-d.Next)/d.Skew < leastGain {
@@ -188,6 +207,22 @@
 	return d, true
 }
 
+// relieve returns better maps. Every pass waits for the busiest rank of each set, so each set may first load its part of
+// the experts of a switch; what a set does not use goes to the others.
+func (p *Planner) relieve(maps []*balance.Placement, size int) []*balance.Placement {
+	better := slices.Clone(maps)
+	room := slices.Repeat([]int{rankLoads}, size)
+	for _, limit := range []int{max(1, rankLoads*size/p.Sets), 0} {
+		for _, s := range p.order(better) {
+			o := balance.Relief{Places: p.Places, Fresh: p.Spare, Room: room, Loads: limit, Price: p.price()}
+			m, _ := balance.Relieve(o, better[s], p.loads[s])
+			spend(room, better[s], m)
+			better[s] = m
+		}
+	}
+	return better
+}
+
 // order returns the sets, the one with the largest skew first.
 func (p *Planner) order(maps []*balance.Placement) []int {
 	skews := make([]float64, p.Sets)
