Watch all keys of the store in one call

Cause: each entry made 2.35 calls a second at the store: a watch of the configuration, a list of the targets every 1.1 s, and a second reading of the configuration. The second reading of everything stays, with an old configuration, which costs a tenth. Entries that name no usable target are logged with the field, once each.

--- a/internal/operator/commands/platform.go
+++ b/internal/operator/commands/platform.go
@@ -111,7 +111,7 @@
 			ReadCall: platform.ReadCall, NewRequest: platform.NewRequest, ReadAnswer: platform.ReadAnswer, WriteID: platform.WriteID,
 		},
 		Store: gateway.Store{
-			Configuration: store.Configuration, Changed: store.Changed, Targets: store.Targets, Close: store.Close,
+			Configuration: store.Configuration, Changes: store.Changes, Targets: store.Targets, Close: store.Close,
 		},
 		Log: file.log, Random: source(), Now: time.Now, Boot: boot,
 	})
--- a/internal/operator/story/cause.go
+++ b/internal/operator/story/cause.go
@@ -109,7 +109,7 @@
 func (s *Story) store() (causes []string) {
 	for _, l := range s.Beliefs {
 		if l.Message == "store lost" || l.Message == "store regained" {
-			causes = append(causes, fmt.Sprintf("%s at %s, call %s: %s.", l.Message, clock(l.Time), l.Get("call"), orNone(l.Get("error"))))
+			causes = append(causes, fmt.Sprintf("%s at %s: %s.", l.Message, clock(l.Time), orNone(l.Get("error"))))
 		}
 	}
 	if len(causes) == 0 {
@@ -121,8 +121,8 @@
 // targets explains an empty list of targets.
 func (s *Story) targets() (causes []string) {
 	for _, l := range s.Beliefs {
-		if l.Message == "store lost" && l.Get("call") == "targets" {
-			causes = append(causes, fmt.Sprintf("The list of targets could not be read from %s on: %s.", clock(l.Time), l.Get("error")))
+		if l.Message == "store lost" {
+			causes = append(causes, fmt.Sprintf("The targets could not be read from %s on: %s.", clock(l.Time), l.Get("error")))
 		}
 	}
 	return causes
--- a/internal/operator/story/story_test.go
+++ b/internal/operator/story/story_test.go
@@ -31,7 +31,7 @@
 		},
 		{
 			"old-keys.log", "e936344eb9c0c396",
-			[]string{"refused, and has not run", "store lost at 12:48:49.513, call configuration: store kv-watch: status 503"},
+			[]string{"refused, and has not run", "store lost at 12:48:49.513: store kv-watch: status 503"},
 			[]string{"store lost", "start"}, "Passes",
 		},
 		{
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -52,12 +52,12 @@
 
 // Store reads the platform's store.
 type Store struct {
-	// Configuration reads the newest configuration, which may be nil, and the store's revision.
-	Configuration func(ctx context.Context) (*site.Configuration, int64, error)
-	// Changed waits for a configuration after a revision; it is nil when the time is over.
-	Changed func(ctx context.Context, after int64, wait time.Duration) (*site.Configuration, int64, error)
-	// Targets lists the targets and counts the entries that cannot be read.
-	Targets func(ctx context.Context) ([]site.Target, int, error)
+	// Configuration reads the newest configuration, which may be nil, and the store's revision; an old one is cheaper.
+	Configuration func(ctx context.Context, old bool) (*site.Configuration, int64, error)
+	// Changes waits for changes after a revision.
+	Changes func(ctx context.Context, after int64, wait time.Duration) (site.Changes, error)
+	// Targets lists the targets' entries, with the store's revision.
+	Targets func(ctx context.Context) ([]site.Entry, int64, error)
 	// Close drops the idle connections.
 	Close func()
 }
@@ -150,8 +150,7 @@
 		}
 	}
 	group.Go(func() error { return p.socket.Receive(work, p.hear, p.reject) })
-	group.Go(func() error { p.followConfiguration(work); return nil })
-	group.Go(func() error { p.followTargets(work); return nil })
+	group.Go(func() error { p.followStore(work); return nil })
 	group.Go(func() error { p.tellPeers(work); return nil })
 	group.Go(func() error { node.Every(work, tickInterval, p.tick); return nil })
 	group.Go(func() error { return p.await(ctx, work, callers, cancel) })
--- a/internal/process/gateway/gateway_follow.go
+++ b/internal/process/gateway/gateway_follow.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/site"
@@ -10,86 +12,148 @@
 )
 
 const (
-	// watchWait is how long one watch of the configuration waits. When the store goes away, the configuration was
+	// watchWait is how long one watch of the store waits. When the store goes away, the configuration was
 	// known to be the newest up to two waits ago, and what is left of a key's time is served on.
 	watchWait = 800 * time.Millisecond
 	// watchSlack is the time beyond its wait after which a watch counts as lost.
 	watchSlack = 600 * time.Millisecond
 	// readTimeout bounds a read of the store, which answers in milliseconds; a slow store takes some hundred.
 	readTimeout = 1500 * time.Millisecond
-	// rereadShare is the part of the store's history after which the configuration is read anew,
+	// rereadShare is the part of the store's history after which everything is read anew,
 	// so that a change that a watch missed is found.
 	rereadShare = 0.25
 	// retryPause is the time before a failed read is tried again.
 	retryPause = 250 * time.Millisecond
-	// listPause is the time between two lists of the targets: a leaving one must get no new work two seconds after the store knows.
-	listPause = 1100 * time.Millisecond
 )
 
-// followConfiguration keeps the configuration up to date.
-func (p *Process) followConfiguration(ctx context.Context) {
-	var revision int64
-	var read time.Time
-	reachable := true
+// follower is what an entry has read of the store.
+type follower struct {
+	// revision is that of the newest change; it is zero until everything was read.
+	revision int64
+	// read is the time of the newest reading of everything.
+	read time.Time
+	// targets are the usable targets by ID, and faults the entries that name none.
+	targets map[string]site.Target
+	faults  map[string]string
+	// reachable is false after a failure.
+	reachable bool
+}
+
+// followStore keeps the configuration and the targets up to date.
+func (p *Process) followStore(ctx context.Context) {
+	f := &follower{reachable: true, targets: map[string]site.Target{}, faults: map[string]string{}}
 	for ctx.Err() == nil {
-		asked, ok := p.Boot.Now()
-		var c *site.Configuration
-		var err error
-		fresh := p.configuration.Load() == nil || p.Now().Sub(read) > time.Duration(rereadShare*float64(p.settings.Load().History))
-		if fresh {
-			c, revision, err = p.readConfiguration(ctx)
-			read = p.Now()
-		} else {
-			c, err = p.watchConfiguration(ctx, &revision)
-		}
+		err := p.step(ctx, f)
 		switch {
 		case errors.Is(err, site.ErrHistory):
-			p.Log.Info("configuration is read anew", "reason", err)
-			read = time.Time{}
+			p.Log.Info("store is read anew", "reason", err)
+			f.revision = 0
 			continue
 		case err != nil:
 			p.Store.Close()
-			if reachable {
-				p.Log.Warn("store lost", "call", "configuration", "error", err, "version", p.version())
+			p.mu.Lock()
+			p.registry.Lose()
+			p.mu.Unlock()
+			if f.reachable {
+				p.Log.Warn("store lost", "error", err, "version", p.version())
 			}
-			reachable = false
+			f.reachable = false
 			node.Pause(ctx, retryPause)
 			continue
+		case !f.reachable:
+			p.Log.Info("store regained", "version", p.version())
+			f.reachable = true
 		}
-		if !reachable {
-			p.Log.Info("store regained", "call", "configuration", "version", p.version())
-		}
-		reachable = true
-		if c != nil {
-			p.accept(c)
-		}
-		if ok && p.configuration.Load() != nil {
-			p.current.Store(int64(asked))
-		}
-		if p.configuration.Load() == nil {
-			node.Pause(ctx, retryPause)
+		p.applyTargets(slices.Collect(maps.Values(f.targets)))
+	}
+}
+
+// step reads everything, or waits for a change.
+func (p *Process) step(ctx context.Context, f *follower) error {
+	asked, ok := p.Boot.Now()
+	history := p.settings.Load().History
+	if f.revision == 0 || p.Now().Sub(f.read) > time.Duration(rereadShare*float64(history)) {
+		first := f.revision == 0
+		if err := p.readAll(ctx, f); err != nil {
+			return err
 		}
+		// Only the first reading is of a configuration that is surely the newest.
+		ok = ok && first
+	} else if err := p.watch(ctx, f); err != nil {
+		return err
+	}
+	if ok && p.configuration.Load() != nil {
+		p.current.Store(int64(asked))
 	}
+	return nil
 }
 
-func (p *Process) readConfiguration(ctx context.Context) (*site.Configuration, int64, error) {
+// readAll reads the configuration and the list of targets. Once changes are followed, the configuration may be an old one:
+// it only shows what a watch missed.
+func (p *Process) readAll(ctx context.Context, f *follower) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	p.counts.reads.With("call", "targets").Add(1)
+	list, listed, err := p.Store.Targets(ctx)
+	if err != nil {
+		return err
+	}
 	p.counts.reads.With("call", "configuration").Add(1)
-	return p.Store.Configuration(ctx)
+	c, _, err := p.Store.Configuration(ctx, f.revision != 0)
+	if err != nil {
+		return err
+	}
+	f.read = p.Now()
+	if f.revision == 0 {
+		// The configuration was read later, so all changes of both come after this revision.
+		f.revision = listed
+	}
+	if c != nil {
+		p.accept(c)
+	}
+	clear(f.targets)
+	p.take(f, list)
+	maps.DeleteFunc(f.faults, func(id, _ string) bool {
+		return !slices.ContainsFunc(list, func(e site.Entry) bool { return e.ID == id })
+	})
+	return nil
 }
 
-// watchConfiguration waits for a change after a revision. Without one the revision stays,
+// watch waits for changes after a revision. Without one the revision stays,
 // since a watch without news does not prove that it heard all changes.
-func (p *Process) watchConfiguration(ctx context.Context, revision *int64) (c *site.Configuration, err error) {
+func (p *Process) watch(ctx context.Context, f *follower) error {
 	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 	defer cancel()
 	p.counts.reads.With("call", "watch").Add(1)
-	c, changed, err := p.Store.Changed(ctx, *revision, watchWait)
-	if err == nil && c != nil {
-		*revision = changed
+	c, err := p.Store.Changes(ctx, f.revision, watchWait)
+	if err != nil {
+		return err
+	}
+	f.revision = max(f.revision, c.Revision)
+	if c.Configuration != nil {
+		p.accept(c.Configuration)
+	}
+	p.take(f, c.Targets)
+	return nil
+}
+
+// take takes in entries of targets. One that cannot be used is logged once.
+func (p *Process) take(f *follower, list []site.Entry) {
+	for _, e := range list {
+		delete(f.targets, e.ID)
+		if e.Target != nil {
+			f.targets[e.ID] = *e.Target
+		}
+		if e.Fault == nil {
+			delete(f.faults, e.ID)
+			continue
+		}
+		if text := e.Fault.Error(); f.faults[e.ID] != text {
+			f.faults[e.ID] = text
+			p.counts.unreadable.Add(1)
+			p.Log.Warn("entry refused", "target", e.ID, "error", text)
+		}
 	}
-	return c, err
 }
 
 // accept puts a configuration in force unless a newer one is.
@@ -113,43 +177,6 @@
 	return versionOf(p.configuration.Load())
 }
 
-// followTargets keeps the list of targets up to date.
-func (p *Process) followTargets(ctx context.Context) {
-	reachable := true
-	for ctx.Err() == nil {
-		list, err := p.listTargets(ctx)
-		if err != nil {
-			p.Store.Close()
-			p.mu.Lock()
-			p.registry.Lose()
-			p.mu.Unlock()
-			if reachable {
-				p.Log.Warn("store lost", "call", "targets", "error", err)
-			}
-			reachable = false
-			node.Pause(ctx, retryPause)
-			continue
-		}
-		if !reachable {
-			p.Log.Info("store regained", "call", "targets")
-		}
-		reachable = true
-		p.applyTargets(list)
-		node.Pause(ctx, listPause)
-	}
-}
-
-func (p *Process) listTargets(ctx context.Context) (list []site.Target, err error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	p.counts.reads.With("call", "targets").Add(1)
-	list, unreadable, err := p.Store.Targets(ctx)
-	if unreadable > 0 {
-		p.counts.unreadable.Add(float64(unreadable))
-	}
-	return list, err
-}
-
 func (p *Process) applyTargets(list []site.Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -58,8 +58,8 @@
 type Options struct {
 	Settings *site.Settings
 	Engine   Engine
-	// Configuration reads the configuration, which may be nil.
-	Configuration func(ctx context.Context) (*site.Configuration, int64, error)
+	// Configuration reads the configuration, which may be nil; an old one is cheaper.
+	Configuration func(ctx context.Context, old bool) (*site.Configuration, int64, error)
 	Log           *slog.Logger
 	// Incarnation is chosen at random.
 	Incarnation uint64
@@ -168,7 +168,7 @@
 		wait := retryPause
 		c, err := p.readOnce(ctx)
 		if err != nil {
-			p.Log.Warn("store lost", "call", "configuration", "error", err)
+			p.Log.Warn("store lost", "error", err)
 		}
 		if err == nil && c != nil {
 			wait = readPause
@@ -181,7 +181,7 @@
 func (p *Process) readOnce(ctx context.Context) (*site.Configuration, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	c, _, err := p.Configuration(ctx)
+	c, _, err := p.Configuration(ctx, true)
 	return c, err
 }
 
--- a/internal/proof/edge/rig_test.go
+++ b/internal/proof/edge/rig_test.go
@@ -208,7 +208,7 @@
 		Dialect: gateway.Dialect{
 			ReadCall: platform.ReadCall, NewRequest: platform.NewRequest, ReadAnswer: platform.ReadAnswer, WriteID: platform.WriteID,
 		},
-		Store: gateway.Store{Configuration: s.Configuration, Changed: s.Changed, Targets: s.Targets, Close: s.Close},
+		Store: gateway.Store{Configuration: s.Configuration, Changes: s.Changes, Targets: s.Targets, Close: s.Close},
 		Log:   slog.New(slog.DiscardHandler), Random: rand.New(rand.NewPCG(1, 2)), Now: time.Now, Boot: boot,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
