Wake the lead only to act, and tell slots only what changed

Cause: the lead read its engine and sent to all ranks at each datagram of a rank, so the work of a group grew with the square of its size. Change: a datagram wakes the lead only when an order can be given or the attempt moves on; repeats are paced; the map goes only to ranks that do not follow the attempt yet; counts of about twelve ranks reach the lead in each interval.

--- a/internal/group/hold/core.go
+++ b/internal/group/hold/core.go
@@ -196,6 +196,11 @@
 	return c.lead.state != stateResting || c.inflight != nil || active || c.engine.Armed != 0
 }
 
+// Wants reports whether an order could be given now.
+func (c *Core) Wants(now time.Time) bool {
+	return c.wanted(now) != nil
+}
+
 // Notes returns the changes since the last call.
 func (c *Core) Notes() []Note {
 	notes := c.notes
--- a/internal/group/hold/follow.go
+++ b/internal/group/hold/follow.go
@@ -5,6 +5,10 @@
 // follow takes an attempt that is newer, or further on, than the one that is followed.
 func (c *Core) follow(a *Attempt) {
 	order := a.Compare(c.following.Ballot)
+	if order == 0 && a.Phase == c.following.Phase && c.following.Map == nil {
+		// The lead leaves the map out for ranks that have it, and may take a restarted slot for one of them.
+		c.following.Map = a.Map
+	}
 	if order < 0 || order == 0 && a.Phase <= c.following.Phase {
 		return
 	}
--- a/internal/group/hold/hold_test.go
+++ b/internal/group/hold/hold_test.go
@@ -118,3 +118,19 @@
 		})
 	}
 }
+
+// TestMapComesLate checks that a restarted rank prepares a map which the lead first left out, taking the rank for its predecessor.
+func TestMapComesLate(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	c := New(now.Add(-time.Minute), 9)
+	c.Report(now, Engine{Group: "g", Epoch: 1, Rank: 1, Size: 2, Open: true, Step: 40, Map: 5})
+	lead := State{Life: 7, Group: "g", Epoch: 1, Rank: 0, Size: 2, Open: true, Step: 40, Map: 5}
+	a := Attempt{Ballot: Ballot{Number: 3, Lead: 7}, Group: "g", Epoch: 1, Phase: PhasePrepare, Version: 6}
+	c.Hear(now, lead, &a)
+	is.True(c.Next(now) == nil)
+	a.Map = [][][]int{{{0, 1}, {2, 3}}}
+	c.Hear(now, lead, &a)
+	o := c.Next(now)
+	is.True(o != nil && o.Kind == OrderPrepare && o.Version == 6)
+}
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -93,8 +93,12 @@
 	heldEpoch uint64
 	// ranks holds the newest state of each slot by its address.
 	ranks map[netip.AddrPort]hold.State
-	// introduced is when the entries were told of this slot.
-	introduced time.Time
+	// introduced is when the entries were told of this slot, and counted when the lead was told the counts.
+	introduced, counted time.Time
+	// called, stated and seek limit what is told to the ranks, to the lead and to all slots.
+	called pace[call]
+	stated pace[hold.State]
+	seek   pace[struct{}]
 }
 
 // New returns a Process that does not run yet.
--- a/internal/process/sidecar/sidecar_peers.go
+++ b/internal/process/sidecar/sidecar_peers.go
@@ -9,56 +9,6 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/wire/message"
 )
 
-// entryInterval is the time between two datagrams to the entries, which tell the addresses of the other slots.
-const entryInterval = time.Second
-
-// tell sends the own state to the slot that leads, or to all others, and now and then to the entries.
-func (p *Process) tell() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.Now()
-	for _, lost := range p.mesh.Expire(now) {
-		p.Log.Warn("peer lost", "peer", lost.Name, "address", lost.Address, "age", now.Sub(lost.Heard))
-	}
-	if now.Sub(p.introduced) >= entryInterval {
-		p.introduced = now
-		p.send(p.news(), p.mesh.Addresses(false))
-	}
-	if !p.core.Known() {
-		return
-	}
-	n := p.news()
-	n.Rank = encodeState(p.core.State(now))
-	n.Attempt = encodeAttempt(p.core.Published())
-	if p.core.Leads() {
-		p.send(n, p.mesh.Addresses(true))
-		return
-	}
-	lead := p.leadAddress(now)
-	if !lead.IsValid() {
-		p.send(n, p.mesh.Addresses(true))
-		return
-	}
-	n.Counts = p.tally.Take()
-	n.Map = p.held.Map
-	for _, experts := range p.held.Experts {
-		n.Experts = append(n.Experts, encodeExperts(experts))
-	}
-	p.send(n, []netip.AddrPort{lead})
-}
-
-// leadAddress returns where the slot of rank 0 was heard last; mu is held.
-func (p *Process) leadAddress(now time.Time) netip.AddrPort {
-	own := p.core.State(now)
-	for _, v := range p.mesh.Peers(true) {
-		r, ok := p.ranks[v.Address]
-		if ok && r.Rank == 0 && r.Group == own.Group {
-			return v.Address
-		}
-	}
-	return netip.AddrPort{}
-}
-
 // news returns the head of a datagram; mu is held.
 func (p *Process) news() *message.News {
 	p.sequence++
@@ -96,7 +46,7 @@
 	p.logNotes()
 	p.takeCounts(s, n)
 	after := p.core.State(now)
-	if p.core.Busy() && (before.Ballot != after.Ballot || before.Phase != after.Phase || p.core.Leads()) {
+	if p.core.Busy() && (before.Ballot != after.Ballot || before.Phase != after.Phase || p.core.Wants(now)) {
 		select {
 		case p.wake <- struct{}{}:
 		default:
