Keep the attempts of a lead within the rate of its link

Cause: a new map of 63 ranks takes 5 KB, and went to all ranks every 40 ms until they answered: 8 MB/s on a link of 1 MB/s. Change: whole attempts are paced by a token bucket, those first that were not sent for longest. Test: TestAttemptsFitTheLink (before the pacing a lead sent 341 KB in each turn of 40 ms).

--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -14,6 +14,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/mesh"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/site"
@@ -22,6 +23,7 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/operator/metrics"
 	"github.com/dragonflydeal/dragonflydeal/internal/process/node"
 	"github.com/dragonflydeal/dragonflydeal/internal/wire/datagram"
+	"github.com/dragonflydeal/dragonflydeal/internal/wire/message"
 )
 
 const (
@@ -75,6 +77,8 @@
 	// settings are those in force.
 	settings atomic.Pointer[site.Settings]
 	socket   *datagram.Socket
+	// transmit sends news to other processes; it is the socket's once the slot runs.
+	transmit func(n *message.News, addresses []netip.AddrPort) error
 	// wake ends the wait of the engine's loop; it has room for one.
 	wake chan struct{}
 
@@ -99,6 +103,9 @@
 	called pace[call]
 	stated pace[hold.State]
 	seek   pace[struct{}]
+	// link limits whole attempts; wholes holds when one was sent to each slot.
+	link   *rate.Limiter
+	wholes map[netip.AddrPort]time.Time
 }
 
 // New returns a Process that does not run yet.
@@ -106,8 +113,8 @@
 	set := metrics.NewSet()
 	p := &Process{
 		Options: o, set: set, counts: newCounts(set), wake: make(chan struct{}, 1), core: hold.New(o.Now(), o.Incarnation),
-		ranks: map[netip.AddrPort]hold.State{},
-		mesh:  mesh.New(o.Settings.Peers, o.Settings.Seeds),
+		ranks: map[netip.AddrPort]hold.State{}, wholes: map[netip.AddrPort]time.Time{}, link: rate.NewLimiter(attemptRate, attemptBurst),
+		mesh: mesh.New(o.Settings.Peers, o.Settings.Seeds),
 	}
 	p.settings.Store(o.Settings)
 	return p
@@ -135,6 +142,7 @@
 	if p.socket, err = datagram.Listen(p.settings.Load().Peers); err != nil {
 		return err
 	}
+	p.transmit = p.socket.Send
 	group, ctx := errgroup.WithContext(ctx)
 	if err := p.serveOperators(ctx, group); err != nil {
 		return err
--- a/internal/process/sidecar/sidecar_peers.go
+++ b/internal/process/sidecar/sidecar_peers.go
@@ -18,7 +18,7 @@
 }
 
 func (p *Process) send(n *message.News, addresses []netip.AddrPort) {
-	if err := p.socket.Send(n, addresses); err != nil {
+	if err := p.transmit(n, addresses); err != nil {
 		p.counts.datagrams.With("event", "unsent").Add(1)
 	}
 }
--- a/internal/process/sidecar/sidecar_tell.go
+++ b/internal/process/sidecar/sidecar_tell.go
@@ -1,9 +1,13 @@
 package sidecar
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/dragonflydeal/dragonflydeal/internal/group/hold"
 )
 
@@ -18,6 +22,10 @@
 	// stateInterval is the time between two datagrams of a slot to the lead while no attempt is in progress; a state
 	// counts for 0.9 s.
 	stateInterval = 300 * time.Millisecond
+	// attemptRate is the number of bytes a second that whole attempts take of the lead's link, and attemptBurst those that go out
+	// at once: the slowest links that the users name carry a megabyte a second, and a full link loses everything else too.
+	attemptRate  = 750_000
+	attemptBurst = 48 << 10
 	// countingRanks is the number of ranks whose counts reach the lead in each countInterval: the requests of every rank
 	// follow the same demand, and the counts of all would fill the lead's link in a large group.
 	countingRanks = 12
@@ -88,20 +96,23 @@
 	if !p.called.due(now, key, interval) {
 		return
 	}
-	var behind, following []netip.AddrPort
-	for _, address := range p.mesh.Addresses(true) {
+	var following []netip.AddrPort
+	state := encodeState(p.core.State(now))
+	whole, full := encodeAttempt(a), false
+	for _, address := range p.unheard() {
 		s, ok := p.ranks[address]
 		if a == nil || ok && s.Ballot == a.Ballot && s.Phase >= a.Phase {
 			following = append(following, address)
-		} else {
-			behind = append(behind, address)
+			continue
 		}
-	}
-	state := encodeState(p.core.State(now))
-	if len(behind) > 0 {
 		n := p.news()
-		n.Rank, n.Attempt = state, encodeAttempt(a)
-		p.send(n, behind)
+		n.Rank, n.Attempt = state, whole
+		// What finds no room is sent in the next turn, before what was sent already.
+		if full = full || !p.link.AllowN(now, min(proto.Size(n), attemptBurst)); full {
+			continue
+		}
+		p.wholes[address] = now
+		p.send(n, []netip.AddrPort{address})
 	}
 	if len(following) > 0 {
 		n := p.news()
@@ -110,6 +121,15 @@
 	}
 }
 
+// unheard returns the addresses of the other slots, the ones first to which a whole attempt was sent longest ago; mu is held.
+func (p *Process) unheard() []netip.AddrPort {
+	addresses := p.mesh.Addresses(true)
+	slices.SortFunc(addresses, func(a, b netip.AddrPort) int {
+		return cmp.Or(p.wholes[a].Compare(p.wholes[b]), a.Compare(b))
+	})
+	return addresses
+}
+
 // tellLead sends the own state to the lead, with what was counted when it is this rank's turn; mu is held.
 func (p *Process) tellLead(now time.Time, lead netip.AddrPort) {
 	s := p.core.State(now)
--- a/internal/process/sidecar/sidecar_tell_test.go
+++ b/internal/process/sidecar/sidecar_tell_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/group/hold"
 	"github.com/dragonflydeal/dragonflydeal/internal/wire/message"
@@ -80,3 +81,48 @@
 	hear(other)
 	is.True(woken(p)) // the group can be held
 }
+
+// TestAttemptsFitTheLink lets a lead of 63 ranks begin a switch that nobody answers, as when all answers are lost: what it sends must
+// leave room on the link of a megabyte a second that the users name, and every rank must get the map within a second.
+func TestAttemptsFitTheLink(t *testing.T) {
+	is := is.New(t)
+	const ranks, sets, experts, link, second = 63, 8, 252, 1_000_000, 1000 * time.Millisecond
+	f := &fakeEngine{state: hold.Engine{Group: "g", Epoch: 1, Rank: 0, Size: ranks, Open: true, Step: 40, Map: 5}}
+	p := newTestProcess(f)
+	now := time.Now()
+	p.Now = func() time.Time { return now }
+	sent, reached := 0, map[netip.AddrPort]bool{}
+	p.transmit = func(n *message.News, addresses []netip.AddrPort) error {
+		sent += proto.Size(n) * len(addresses)
+		for _, a := range addresses {
+			reached[a] = reached[a] || n.Attempt != nil && len(n.Attempt.Sets) == sets
+		}
+		return nil
+	}
+	is.NoErr(p.readEngine(t.Context()))
+	now = now.Add(time.Minute)
+	is.NoErr(p.readEngine(t.Context()))
+	for r := 1; r < ranks; r++ {
+		s := hold.State{Life: 7, Group: "g", Epoch: 1, Rank: r, Size: ranks, Open: true, Step: 40, Map: 5, Clean: true, Firm: true}
+		from := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(r)}), 7000)
+		p.hear(from, &message.News{Name: "slot", Incarnation: 7, Sequence: 1, Slot: true, Rank: encodeState(s)})
+	}
+	var maps [][][]int
+	for range sets {
+		m := make([][]int, ranks)
+		for e := range experts {
+			m[e%ranks] = append(m[e%ranks], e)
+		}
+		maps = append(maps, m)
+	}
+	is.True(p.core.Begin(now, maps))
+	for began := now; now.Sub(began) < second; now = now.Add(busyInterval) {
+		p.tell()
+	}
+	t.Logf("%d bytes in a second", sent)
+	is.True(sent < link)
+	is.Equal(len(reached), ranks-1)
+	for _, whole := range reached {
+		is.True(whole)
+	}
+}
