--- a/internal/process/gateway/gateway_follow.go
+++ b/internal/process/gateway/gateway_follow.go
@@ -73,12 +73,9 @@
 	asked, ok := p.Boot.Now()
 	history := p.settings.Load().History
 	if f.revision == 0 || p.Now().Sub(f.read) > time.Duration(rereadShare*float64(history)) {
-		first := f.revision == 0
 		if err := p.readAll(ctx, f); err != nil {
 			return err
 		}
-		// Only the first reading is of a configuration that is surely the newest.
-		ok = ok && first
 	} else if err := p.watch(ctx, f); err != nil {
 		return err
 	}
@@ -88,8 +85,8 @@
 	return nil
 }
 
-// readAll reads the configuration and the list of targets. Once changes are followed, the configuration may be an old one:
-// it only shows what a watch missed.
+// readAll reads the list of targets and the configuration. An old configuration would be cheaper, but this reading bounds
+// how long a key can work after a watch missed its end.
 func (p *Process) readAll(ctx context.Context, f *follower) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
@@ -99,7 +96,7 @@
 		return err
 	}
 	p.counts.reads.With("call", "configuration").Add(1)
-	c, _, err := p.Store.Configuration(ctx, f.revision != 0)
+	c, _, err := p.Store.Configuration(ctx, false)
 	if err != nil {
 		return err
 	}
--- a/internal/proof/edge/edge_test.go
+++ b/internal/proof/edge/edge_test.go
@@ -249,6 +249,21 @@
 	is.True(last.Sub(told) < 2*time.Second)
 }
 
+// TestMissedChangesAreFound lets the store's watches tell nothing: a key that was taken away must not work for longer than the
+// time that it may, nor a target that is gone get work for ever.
+func TestMissedChangesAreFound(t *testing.T) {
+	is := is.New(t)
+	const revoke = 6 * time.Second
+	r := newRig(t, revoke, serveWell, serveWell)
+	r.store.deaf.Store(true)
+	r.configure(50, "another")
+	r.list(r.targets[0], 0, "draining")
+	told := time.Now()
+	is.Equal(r.call("POST", "/once/", nil).status, 200) // nobody has told the entry
+	r.await(func() bool { return r.call("POST", "/once/", nil).status == http.StatusUnauthorized })
+	is.True(time.Since(told) < revoke)
+}
+
 // TestStopServesWhatIsInProgress stops the entry while it serves.
 func TestStopServesWhatIsInProgress(t *testing.T) {
 	is := is.New(t)
--- a/internal/proof/edge/rig_test.go
+++ b/internal/proof/edge/rig_test.go
@@ -32,8 +32,8 @@
 	// values are the encoded items by key, and revision counts changes; guarded by mu.
 	values   map[string]json.RawMessage
 	revision int64
-	// away makes all calls fail.
-	away atomic.Bool
+	// away makes all calls fail, and deaf makes watches tell nothing.
+	away, deaf atomic.Bool
 }
 
 func (s *store) put(key string, value any) {
@@ -100,7 +100,7 @@
 		s.mu.Lock()
 		for key, value := range s.values {
 			var item struct{ Rev int64 }
-			if err := json.Unmarshal(value, &item); err == nil && item.Rev > from && strings.HasPrefix(key, prefix) {
+			if err := json.Unmarshal(value, &item); err == nil && !s.deaf.Load() && item.Rev > from && strings.HasPrefix(key, prefix) {
 				events = append(events, value)
 			}
 		}
