Leave 300 ms between two calls at a store that changes all the time

Found on reading: a watch of all keys answers at each change, so entries of targets that are written anew with each sign of life would let every entry call as often as the store answers, and all entries share its rate. Test: TestStoreThatChangesAllTheTime.

--- a/internal/group/load/load.go
+++ b/internal/group/load/load.go
@@ -55,7 +55,7 @@
 	// copyPrice is the time of the whole group's work that loading one expert is worth.
 	copyPrice = 14 * time.Millisecond
 	// rankLoads is the number of experts that a rank loads in one switch over all sets: each takes a tenth of a second,
-	// in which the old map stays in use.
+	// in which the old map stays in use, and a few copies of the experts that are in demand most relieve the most.
 	rankLoads = 1
 	// leastGain is the part of a pass that a switch must save, so that noise moves nothing.
 	leastGain = 0.10
@@ -68,10 +68,9 @@
 	site.Experts
 	// loads are faded counts by set and expert.
 	loads [][]float64
-	// recent are the counts since then, by set and expert.
+	// faded is when loads were faded last, and recent are the counts since then.
+	faded  time.Time
 	recent [][]float64
-	// faded is when loads were faded last.
-	faded time.Time
 	// ranks are the experts that each rank holds, as told in an epoch.
 	ranks map[int]holding
 	// decided is the newest map that was decided on, by set and rank.
--- a/internal/process/gateway/gateway_follow.go
+++ b/internal/process/gateway/gateway_follow.go
@@ -22,6 +22,9 @@
 	// rereadShare is the part of the store's history after which everything is read anew,
 	// so that a change that a watch missed is found.
 	rereadShare = 0.25
+	// watchPause is the shortest time between two calls while the store tells of one change after the other: a changed
+	// configuration is in force soon enough, and the calls of all entries stay within the store's rate.
+	watchPause = 300 * time.Millisecond
 	// retryPause is the time before a failed read is tried again.
 	retryPause = 250 * time.Millisecond
 )
@@ -43,11 +46,13 @@
 func (p *Process) followStore(ctx context.Context) {
 	f := &follower{reachable: true, targets: map[string]site.Target{}, faults: map[string]string{}}
 	for ctx.Err() == nil {
+		began := p.Now()
 		err := p.step(ctx, f)
 		switch {
 		case errors.Is(err, site.ErrHistory):
 			p.Log.Info("store is read anew", "reason", err)
 			f.revision = 0
+			node.Pause(ctx, watchPause-p.Now().Sub(began))
 			continue
 		case err != nil:
 			p.Store.Close()
@@ -65,6 +70,7 @@
 			f.reachable = true
 		}
 		p.applyTargets(slices.Collect(maps.Values(f.targets)))
+		node.Pause(ctx, watchPause-p.Now().Sub(began))
 	}
 }
 
--- a/internal/process/sidecar/sidecar_tell.go
+++ b/internal/process/sidecar/sidecar_tell.go
@@ -99,7 +99,7 @@
 	var following []netip.AddrPort
 	state := encodeState(p.core.State(now))
 	whole, full := encodeAttempt(a), false
-	for _, address := range p.unheard() {
+	for _, address := range p.inTurn() {
 		s, ok := p.ranks[address]
 		if a == nil || ok && s.Ballot == a.Ballot && s.Phase >= a.Phase {
 			following = append(following, address)
@@ -121,8 +121,8 @@
 	}
 }
 
-// unheard returns the addresses of the other slots, the ones first to which a whole attempt was sent longest ago; mu is held.
-func (p *Process) unheard() []netip.AddrPort {
+// inTurn returns the addresses of the other slots, those first that were sent a whole attempt longest ago; mu is held.
+func (p *Process) inTurn() []netip.AddrPort {
 	addresses := p.mesh.Addresses(true)
 	slices.SortFunc(addresses, func(a, b netip.AddrPort) int {
 		return cmp.Or(p.wholes[a].Compare(p.wholes[b]), a.Compare(b))
--- a/internal/proof/edge/edge_test.go
+++ b/internal/proof/edge/edge_test.go
@@ -315,3 +315,18 @@
 	start := time.Now()
 	is.True((<-ended).Sub(start) < 800*time.Millisecond)
 }
+
+// TestStoreThatChangesAllTheTime lets the targets' entries be written anew all the time: an entry must not call the store each
+// time, since all of them share its rate.
+func TestStoreThatChangesAllTheTime(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, time.Minute, serveWell)
+	r.store.calls.Store(0)
+	// Watches are 300 ms apart, and everything is read anew in two calls every five seconds.
+	const seconds = 2
+	for end := time.Now().Add(seconds * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		r.list(r.targets[0], 0, "ready")
+		is.Equal(r.call("POST", "/once/", nil).status, 200)
+	}
+	is.True(r.store.calls.Load() <= seconds*5)
+}
--- a/internal/proof/edge/rig_test.go
+++ b/internal/proof/edge/rig_test.go
@@ -34,6 +34,8 @@
 	revision int64
 	// away makes all calls fail, and deaf makes watches tell nothing.
 	away, deaf atomic.Bool
+	// calls counts the calls.
+	calls atomic.Int64
 }
 
 func (s *store) put(key string, value any) {
@@ -52,6 +54,7 @@
 }
 
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.calls.Add(1)
 	if s.away.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
