--- a/internal/operator/commands/explain.go
+++ b/internal/operator/commands/explain.go
@@ -6,7 +6,7 @@
 	"io"
 	"os"
 
-	"github.com/dragonflydeal/dragonflydeal/internal/operator/story"
+	"github.com/dragonflydeal/dragonflydeal/internal/operator/trace"
 )
 
 // explainCommand tells what happened to one request.
@@ -16,8 +16,8 @@
 
 // run reads the logs of all processes from standard input.
 func (c *explainCommand) run(_ context.Context, stdout, _ io.Writer) error {
-	s, err := story.Read(os.Stdin, c.ID)
-	if errors.Is(err, story.ErrUnknown) {
+	s, err := trace.Read(os.Stdin, c.ID)
+	if errors.Is(err, trace.ErrUnknown) {
 		return usageError("no line of the logs on standard input names request " + c.ID + "; were the logs of all entries given?")
 	}
 	if err != nil {
--- a/internal/operator/story/cause.go
+++ b/internal/operator/trace/cause.go
@@ -1,4 +1,4 @@
-package story
+package trace
 
 import (
 	"fmt"
@@ -23,7 +23,7 @@
 }
 
 // end returns the line that tells how the request ended.
-func (s *Story) end() (l Line, ok bool) {
+func (s *Trace) end() (l Line, ok bool) {
 	for i := len(s.Lines) - 1; i >= 0; i-- {
 		if s.Lines[i].Message == "request ended" {
 			return s.Lines[i], true
@@ -33,7 +33,7 @@
 }
 
 // conclude draws conclusions from the lines, the nearest cause first.
-func (s *Story) conclude() (causes []string) {
+func (s *Trace) conclude() (causes []string) {
 	end, ok := s.end()
 	if !ok {
 		return []string{"No line tells the end: the entry died, still has the request, or left the line out."}
@@ -58,7 +58,7 @@
 }
 
 // outcome tells the end in words.
-func (s *Story) outcome(end Line) string {
+func (s *Trace) outcome(end Line) string {
 	verb := map[string]string{
 		"served": "It was served", "left": "Its caller left", "abandoned": "Its caller left",
 		"broken": "Its answer broke off, with a part delivered,",
@@ -77,7 +77,7 @@
 }
 
 // overload explains a refusal for want of a seat.
-func (s *Story) overload() (causes []string) {
+func (s *Trace) overload() (causes []string) {
 	for _, l := range s.Lines {
 		if l.Message != "no seat" {
 			continue
@@ -92,12 +92,12 @@
 }
 
 // refusal explains why a target took nothing.
-func (s *Story) refusal(end Line) []string {
+func (s *Trace) refusal(end Line) []string {
 	at := fault(end)
 	if at == "" {
 		return nil
 	}
-	for _, l := range s.Beliefs {
+	for _, l := range s.States {
 		if (l.Get("target") == at || l.Get("address") == at) && (l.Message == "target leaving" || l.Message == "target gone") {
 			return []string{fmt.Sprintf("The group waits for engine %s: %s at %s.", at, l.Message, clock(l.Time))}
 		}
@@ -106,8 +106,8 @@
 }
 
 // store explains an old configuration.
-func (s *Story) store() (causes []string) {
-	for _, l := range s.Beliefs {
+func (s *Trace) store() (causes []string) {
+	for _, l := range s.States {
 		if l.Message == "store lost" || l.Message == "store regained" {
 			causes = append(causes, fmt.Sprintf("%s at %s: %s.", l.Message, clock(l.Time), orNone(l.Get("error"))))
 		}
@@ -119,8 +119,8 @@
 }
 
 // targets explains an empty list of targets.
-func (s *Story) targets() (causes []string) {
-	for _, l := range s.Beliefs {
+func (s *Trace) targets() (causes []string) {
+	for _, l := range s.States {
 		if l.Message == "store lost" {
 			causes = append(causes, fmt.Sprintf("The targets could not be read from %s on: %s.", clock(l.Time), l.Get("error")))
 		}
@@ -129,7 +129,7 @@
 }
 
 // attempts tells of the targets that did not serve it.
-func (s *Story) attempts() (causes []string) {
+func (s *Trace) attempts() (causes []string) {
 	for _, l := range s.Lines {
 		if l.Message == "attempt failed" {
 			causes = append(causes, fmt.Sprintf("Attempt %s at target %s ended as %s after %s: %s.",
@@ -140,9 +140,9 @@
 }
 
 // pace tells what made the passes of the group slow.
-func (s *Story) pace() (causes []string) {
+func (s *Trace) pace() (causes []string) {
 	worst, at := 0.0, time.Time{}
-	for _, l := range s.Beliefs {
+	for _, l := range s.States {
 		skew, err := strconv.ParseFloat(l.Get("skew"), 64)
 		if l.Message == "balance" && err == nil && skew > worst {
 			worst, at = skew, l.Time
--- a/internal/operator/story/line.go
+++ b/internal/operator/trace/line.go
@@ -1,4 +1,4 @@
-package story
+package trace
 
 import (
 	"bufio"
--- a/internal/operator/story/story.go
+++ b/internal/operator/trace/trace.go
@@ -1,5 +1,5 @@
-// Package story tells from the logs of all processes what happened to one request and why.
-package story
+// Package trace tells from the logs of all processes what happened to one request and why.
+package trace
 
 import (
 	"io"
@@ -11,26 +11,26 @@
 )
 
 const (
-	// before is how long before a request what a process believed is part of its story: the time in which
+	// before is how long before a request what a process knew is part of its trace: the time in which
 	// a silent peer or store is noticed.
 	before = 3 * time.Second
 	// skew is the allowed difference of two processes' clocks.
 	skew = 500 * time.Millisecond
-	// mostBeliefs bounds the lines that are kept while a log is read; of more the oldest read are dropped.
-	mostBeliefs = 1 << 18
+	// mostStates bounds the lines that are kept while a log is read; of more the oldest read are dropped.
+	mostStates = 1 << 18
 )
 
 // ErrUnknown reports a request that no line names.
 var ErrUnknown = merry.Sentinel("no line of the log names the request")
 
-// Story is what logs say of one request.
-type Story struct {
+// Trace is what logs say of one request.
+type Trace struct {
 	// ID is the request's.
 	ID string
 	// Lines name the request, in order of time.
 	Lines []Line
-	// Beliefs are what the processes that met it, and the group of engines, came to believe shortly before its end.
-	Beliefs []Line
+	// States are what the processes that met it, and the group of engines, came to know shortly before its end.
+	States []Line
 	// Causes are conclusions from the lines, the nearest cause first.
 	Causes []string
 	// Unread counts lines that are not in the format of this system's logs.
@@ -39,10 +39,10 @@
 	Dropped int
 }
 
-// Read reads the logs of any number of processes, in any order, and tells the story of a request.
-func Read(r io.Reader, id string) (s *Story, err error) {
-	s = &Story{ID: id}
-	var beliefs []Line
+// Read reads the logs of any number of processes, in any order, and returns the trace of a request.
+func Read(r io.Reader, id string) (s *Trace, err error) {
+	s = &Trace{ID: id}
+	var states []Line
 	s.Unread, err = scan(r, func(l Line) {
 		switch {
 		case l.Message == dropped:
@@ -50,9 +50,9 @@
 		case l.Get("id") == id:
 			s.Lines = append(s.Lines, l)
 		case l.Get("id") == "":
-			beliefs = append(beliefs, l)
-			if len(beliefs) > mostBeliefs {
-				beliefs = slices.Clone(beliefs[mostBeliefs/2:])
+			states = append(states, l)
+			if len(states) > mostStates {
+				states = slices.Clone(states[mostStates/2:])
 			}
 		}
 	})
@@ -63,7 +63,7 @@
 		return nil, merry.Wrap(ErrUnknown, merry.AppendMessage(id))
 	}
 	slices.SortStableFunc(s.Lines, byTime)
-	s.Beliefs = s.choose(beliefs)
+	s.States = s.choose(states)
 	s.Causes = s.conclude()
 	return s, nil
 }
@@ -73,7 +73,7 @@
 }
 
 // span returns the time from the request's arrival to its last line.
-func (s *Story) span() (from, to time.Time) {
+func (s *Trace) span() (from, to time.Time) {
 	from, to = s.Lines[0].Time, s.Lines[len(s.Lines)-1].Time
 	for _, l := range s.Lines {
 		if took, err := time.ParseDuration(l.Get("took")); err == nil && l.Time.Add(-took).Before(from) {
@@ -83,17 +83,17 @@
 	return from, to
 }
 
-// lasting are the kinds of belief that hold until the next one of their kind, however old they are.
+// lasting are the kinds of state that hold until the next one of their kind, however old they are.
 var lasting = []string{"start", "reload", "store lost", "store regained", "configuration in force"}
 
-// choose returns the beliefs that bear on the request, in order of time.
-func (s *Story) choose(beliefs []Line) (chosen []Line) {
-	slices.SortStableFunc(beliefs, byTime)
+// choose returns the states that bear on the request, in order of time.
+func (s *Trace) choose(states []Line) (chosen []Line) {
+	slices.SortStableFunc(states, byTime)
 	from, to := s.span()
 	met := s.met()
-	// newest holds the last of each lasting kind before the time of the story.
+	// newest holds the last of each lasting kind before the time of the trace.
 	newest := map[string]Line{}
-	for _, l := range beliefs {
+	for _, l := range states {
 		if l.Time.After(to.Add(skew)) || !met.bears(l) {
 			continue
 		}
@@ -116,7 +116,7 @@
 }
 
 // met returns what the request met.
-func (s *Story) met() meetings {
+func (s *Trace) met() meetings {
 	m := meetings{instances: map[string]bool{}, targets: map[string]bool{}}
 	for _, l := range s.Lines {
 		m.instances[l.Instance] = true
@@ -126,7 +126,7 @@
 	return m
 }
 
-// bears reports whether a belief bears on the request: those of the entries that had it, of the targets that it
+// bears reports whether a state bears on the request: those of the entries that had it, of the targets that it
 // was sent to, and of the group's switches.
 func (m *meetings) bears(l Line) bool {
 	if target := l.Get("target"); target != "" {
--- a/internal/operator/story/story_test.go
+++ b/internal/operator/trace/trace_test.go
@@ -1,4 +1,4 @@
-package story
+package trace
 
 import (
 	"bytes"
@@ -10,12 +10,12 @@
 	"github.com/matryer/is"
 )
 
-// TestStories reads logs of played days and checks that the cause of a failure is found.
-func TestStories(t *testing.T) {
+// TestTraces reads logs of played days and checks that the cause of a failure is found.
+func TestTraces(t *testing.T) {
 	tests := []struct {
 		file, id string
-		// causes are parts of the conclusions that are wanted, and beliefs the kinds of line that must be shown.
-		causes, beliefs []string
+		// causes are parts of the conclusions that are wanted, and states the kinds of line that must be shown.
+		causes, states []string
 		// absent is what must not be concluded.
 		absent string
 	}{
@@ -53,12 +53,12 @@
 			}
 			is.True(!strings.Contains(text, test.absent))
 			kinds := map[string]bool{}
-			for i, l := range s.Beliefs {
+			for i, l := range s.States {
 				kinds[l.Message] = true
-				is.True(i == 0 || !l.Time.Before(s.Beliefs[i-1].Time))
+				is.True(i == 0 || !l.Time.Before(s.States[i-1].Time))
 			}
-			for _, k := range test.beliefs {
-				is.True(kinds[k]) // belief
+			for _, k := range test.states {
+				is.True(kinds[k]) // state
 			}
 			var out bytes.Buffer
 			is.NoErr(s.Write(&out))
--- a/internal/operator/story/write.go
+++ b/internal/operator/trace/write.go
@@ -1,4 +1,4 @@
-package story
+package trace
 
 import (
 	"fmt"
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// Write writes a story for people.
-func (s *Story) Write(w io.Writer) error {
+// Write writes a trace for people.
+func (s *Trace) Write(w io.Writer) error {
 	b := &strings.Builder{}
 	fmt.Fprintf(b, "Request %s\n\n", s.ID)
 	for _, c := range s.Causes {
@@ -17,7 +17,7 @@
 	}
 	from, _ := s.span()
 	writeLines(b, "\nWhat happened to it:\n", s.Lines, from)
-	writeLines(b, "\nWhat the processes believed:\n", s.Beliefs, from)
+	writeLines(b, "\nWhat the processes knew:\n", s.States, from)
 	if s.Dropped > 0 {
 		fmt.Fprintf(b, "\nThe processes left out %d lines of these logs to keep them bounded.\n", s.Dropped)
 	}
