Let a second rank hold the group, so that a restarted lead can abort at once

Cause: a lead that restarts and finds all ranks armed and held knows neither that a release is on its way nor that none is; with another slot restarted too, a late order could disarm its rank, so the group stood for 13 s. Change: in that case a steady rank holds the step too (phase guard), and the lead aborts once it does.

--- a/internal/group/hold/attempt.go
+++ b/internal/group/hold/attempt.go
@@ -15,6 +15,8 @@
 	PhaseArm
 	// PhaseSettle makes the ranks stop what they did for earlier attempts and report.
 	PhaseSettle
+	// PhaseGuard makes one more rank hold the step, so that a release of an earlier lead that comes late releases nobody.
+	PhaseGuard
 	// PhaseAbort disarms the ranks.
 	PhaseAbort
 	// PhaseRest ends the attempt.
@@ -46,6 +48,8 @@
 	Step uint64
 	// Map is known in PhasePrepare.
 	Map [][][]int
+	// Guard is the rank that holds the step beside the lead's, in PhaseGuard.
+	Guard int
 	// Lives are the incarnations of the slots that prepared, by rank, from PhaseArm on: news of the lead may reach
 	// a slot that has restarted since, which must not arm.
 	Lives []uint64
@@ -72,4 +76,8 @@
 	Phase  Phase
 	// Refused tells that the engine refused what the attempt wants.
 	Refused bool
+	// Steady tells that no order can be carried out late that would let the engine go.
+	Steady bool
+	// Guards tells that the engine holds by an order of this slot, and goes only by a further one.
+	Guards bool
 }
--- a/internal/group/hold/core.go
+++ b/internal/group/hold/core.go
@@ -19,6 +19,7 @@
 	stateHolding   chart.State = "holding"
 	stateArming    chart.State = "arming"
 	stateSettling  chart.State = "settling"
+	stateGuarding  chart.State = "guarding"
 	stateAborting  chart.State = "aborting"
 	stateReleasing chart.State = "releasing"
 )
@@ -46,8 +47,12 @@
 	known  bool
 	// past is the start of the process while an earlier one's orders may still be carried out, or zero.
 	past time.Time
-	// looseArm and looseDisarm are the newest orders of their kind without an answer, or nil.
-	looseArm, looseDisarm *loose
+	// started is the start of the process.
+	started time.Time
+	// looseArm, looseDisarm and looseGo are the newest orders of their kind without an answer, or nil.
+	looseArm, looseDisarm, looseGo *loose
+	// guarding is the step that this process ordered its engine to hold for a lead, or zero after it let it go.
+	guarding uint64
 	// keep is a map that changes nothing at this rank, and kept the newest version under which it was prepared.
 	keep [][][]int
 	kept uint64
@@ -76,6 +81,8 @@
 	silence func() bool
 	// firm reports whether late disarm orders may be forgotten.
 	firm func() bool
+	// guarded reports whether an attempt may be aborted while a release of an earlier lead may come late.
+	guarded func(held bool) bool
 }
 
 var safeRules = rules{
@@ -83,6 +90,7 @@
 	unanimous: func(armed, ranks int) bool { return armed == ranks },
 	silence:   func() bool { return false },
 	firm:      func() bool { return false },
+	guarded:   func(held bool) bool { return held },
 }
 
 // heard is a state and the time at which it came.
@@ -102,7 +110,7 @@
 
 // New returns a Core that has not read its engine yet. Its predecessor's orders may still be carried out.
 func New(now time.Time, incarnation uint64) *Core {
-	return &Core{rules: safeRules, incarnation: incarnation, ranks: map[int]heard{}, past: now, lead: lead{state: leadChart.Start}}
+	return &Core{rules: safeRules, incarnation: incarnation, ranks: map[int]heard{}, past: now, started: now, lead: lead{state: leadChart.Start}}
 }
 
 // Report takes a report that was read while no order was in progress, or after it ended.
@@ -111,7 +119,7 @@
 	if restarted {
 		c.asked, c.refused = false, false
 		// Orders name the epoch, so none for an earlier one is carried out any more.
-		c.past, c.looseArm, c.looseDisarm = time.Time{}, nil, nil
+		c.past, c.looseArm, c.looseDisarm, c.looseGo, c.guarding = time.Time{}, nil, nil, nil, 0
 		clear(c.ranks)
 		c.endLead("the group formed anew")
 	}
@@ -141,6 +149,9 @@
 	c.step(now)
 	o := c.wanted(now)
 	c.inflight = o
+	if o != nil && o.Kind == OrderGo {
+		c.guarding = 0
+	}
 	return o
 }
 
@@ -157,6 +168,10 @@
 		c.refused = true
 	case refused && o.Kind == OrderHold && c.lead.state == stateHolding:
 		c.lead.step = 0
+	case refused && o.Kind == OrderHold:
+		c.refused = true
+	case o.Kind == OrderHold && !c.Leads():
+		c.guarding = o.Step
 	case o.Kind == OrderPrepare && o.Version == c.following.Version:
 		c.asked = true
 	case o.Kind == OrderPrepare:
@@ -181,7 +196,7 @@
 	return State{
 		Life: c.incarnation, Group: e.Group, Epoch: e.Epoch, Rank: e.Rank, Size: e.Size, Open: e.Open, Step: e.Step, Map: e.Map, Prepared: e.Prepared,
 		Armed: e.Armed, At: e.At, Held: e.Held, Clean: c.clean(now), Firm: !c.disarming(now) && !c.pastRisk(now), Ballot: c.following.Ballot, Phase: c.following.Phase,
-		Refused: c.refused,
+		Refused: c.refused, Steady: c.steady(now), Guards: c.guarding != 0 && c.guarding == e.Held && c.steady(now),
 	}
 }
 
--- a/internal/group/hold/follow.go
+++ b/internal/group/hold/follow.go
@@ -67,10 +67,19 @@
 		if c.engine.Armed == 0 && c.engine.Map != f.Version && c.engine.Prepared == f.Version && !c.refused {
 			return c.order(Order{Kind: OrderArm, Version: f.Version, Step: f.Step})
 		}
+	case PhaseGuard:
+		if f.Guard == c.engine.Rank && c.guarding != f.Step && !c.refused {
+			return c.order(Order{Kind: OrderHold, Step: f.Step})
+		}
 	case PhaseAbort:
 		if c.engine.Armed != 0 {
 			return c.order(Order{Kind: OrderDisarm, Version: c.engine.Armed})
 		}
+	case PhaseRest:
+		// A guard's hold, or one that was carried out late: no rank is armed, or all stay so.
+		if c.engine.Held != 0 && !c.Leads() {
+			return c.order(Order{Kind: OrderGo, Step: c.engine.Held})
+		}
 	}
 	return nil
 }
--- a/internal/group/hold/hold_test.go
+++ b/internal/group/hold/hold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"slices"
 	"testing"
 	"time"
 
@@ -106,6 +107,8 @@
 		{"news for an earlier process", 5305},
 		// A restarted lead released ranks of which one was still to be disarmed.
 		{"late disarm order", 32824},
+		// A restarted lead took a guard's hold for proof of an abort, though the guard was about to let armed ranks go.
+		{"guard of an earlier release", 24604},
 	}
 	for _, v := range tests {
 		t.Run(v.name, func(t *testing.T) {
@@ -134,3 +137,116 @@
 	o := c.Next(now)
 	is.True(o != nil && o.Kind == OrderPrepare && o.Version == 6)
 }
+
+// longestStand is how long a group may stand at most: a caller leaves a stream after a pause of two seconds (PROTOCOL), and an engine
+// whose group stands notices that only when it goes on.
+const longestStand = 2 * time.Second
+
+// newArmedWorld returns a world whose ranks are all armed and whose lead has not let them go yet.
+func newArmedWorld(t *testing.T, weaken func(*Core)) *world {
+	t.Helper()
+	w := newWorld(1, weaken)
+	w.settle(settleRounds)
+	w.slots[0].Begin(w.now, [][][]int{{{0}, {1}, {2}}})
+	armed := func() bool {
+		for _, e := range w.engines {
+			if e.Armed == 0 {
+				return false
+			}
+		}
+		return true
+	}
+	for round := 0; !armed(); round++ {
+		if round == settleRounds {
+			t.Fatal("the ranks are not armed")
+		}
+		w.follow(round % worldRanks)
+		for len(w.news) > 0 {
+			w.deliver(0)
+		}
+	}
+	return w
+}
+
+// TestHeldGroupGoesOnSoon ends the processes of the lead and of another rank once all ranks are armed, before the lead lets
+// them go. An order of the earlier processes may still come late.
+func TestHeldGroupGoesOnSoon(t *testing.T) {
+	w := newArmedWorld(t, nil)
+	w.restart(0)
+	w.restart(2)
+	began := w.now
+	held := func() bool { return slices.ContainsFunc(w.engines[:], func(e Engine) bool { return e.Held != 0 }) }
+	for held() && w.now.Sub(began) < longestDelay+longestStand {
+		w.settle(1)
+	}
+	if stood := w.now.Sub(began); stood > longestStand || w.broken != "" {
+		t.Errorf("the group stood for %v, broken %q", stood, w.broken)
+	}
+}
+
+// TestLateReleaseMeetsTheGuard lets the release of the ended lead be carried out at any moment while its successor aborts: the
+// guard's hold must keep the group until no rank is armed. Without waiting for the guard, some moment must break the rule.
+func TestLateReleaseMeetsTheGuard(t *testing.T) {
+	tests := []struct {
+		name   string
+		weaken func(*Core)
+		broken bool
+	}{
+		{"guarded", nil, false},
+		{"aborted before the guard holds", func(c *Core) { c.rules.guarded = func(bool) bool { return true } }, true},
+	}
+	for _, v := range tests {
+		t.Run(v.name, func(t *testing.T) {
+			broken := ""
+			for delay := time.Duration(0); delay < longestStand; delay += 5 * time.Millisecond {
+				w := newArmedWorld(t, v.weaken)
+				w.late = append(w.late, lateOrder{
+					rank: 0, order: Order{Kind: OrderGo, Epoch: 1, Step: w.engines[0].Held}, due: w.now.Add(delay),
+				})
+				w.restart(0)
+				w.restart(2)
+				for range int(longestStand / (5 * time.Millisecond)) {
+					w.hurry()
+				}
+				if w.broken != "" {
+					broken = w.broken
+				}
+			}
+			if (broken != "") != v.broken {
+				t.Errorf("broken: %q", broken)
+			}
+		})
+	}
+}
+
+// TestFrozenRankDoesNotHoldTheGroup freezes the slot of one rank before it arms: the others must go on without it.
+func TestFrozenRankDoesNotHoldTheGroup(t *testing.T) {
+	w := newWorld(1, nil)
+	w.settle(settleRounds)
+	w.slots[0].Begin(w.now, [][][]int{{{0}, {1}, {2}}})
+	for round := 0; w.engines[1].Armed == 0; round++ {
+		if round == settleRounds {
+			t.Fatal("rank 1 is not armed")
+		}
+		if rank := round % worldRanks; rank != 2 || w.engines[2].Prepared == 0 {
+			w.follow(rank)
+		}
+		for len(w.news) > 0 {
+			w.deliver(0)
+		}
+	}
+	began := w.now
+	for w.engines[0].Held != 0 && w.now.Sub(began) < 2*longestStand {
+		for rank := range worldRanks - 1 {
+			w.follow(rank)
+		}
+		for len(w.news) > 0 {
+			w.deliver(0)
+		}
+		w.begin()
+		w.pass(50 * time.Millisecond)
+	}
+	if stood := w.now.Sub(began); stood > longestStand {
+		t.Errorf("the group stood for %v", stood)
+	}
+}
--- a/internal/group/hold/late.go
+++ b/internal/group/hold/late.go
@@ -67,9 +67,20 @@
 		c.looseArm = &loose{Order: *o, sent: now}
 	case OrderDisarm:
 		c.looseDisarm = &loose{Order: *o, sent: now}
+	case OrderGo:
+		c.looseGo = &loose{Order: *o, sent: now}
 	}
 }
 
+// steady reports whether no order of this slot, or of an earlier process in its place, can let the engine go late.
+func (c *Core) steady(now time.Time) bool {
+	l := c.looseGo
+	if l != nil && (c.engine.Step >= l.Step || c.rules.late(now.Sub(l.sent))) {
+		c.looseGo = nil
+	}
+	return c.looseGo == nil && c.rules.late(now.Sub(c.started))
+}
+
 // Keep takes a map that changes nothing at this rank; to prepare it voids arm orders that may come late.
 func (c *Core) Keep(sets [][][]int) {
 	c.keep = sets
--- a/internal/group/hold/lead.go
+++ b/internal/group/hold/lead.go
@@ -133,7 +133,7 @@
 	c.outbid()
 	switch c.lead.state {
 	case stateResting:
-		c.find()
+		c.find(now)
 	case statePreparing:
 		c.stepPreparing(now)
 	case stateHolding:
@@ -142,6 +142,8 @@
 		c.stepArming(now)
 	case stateSettling:
 		c.stepSettling(now)
+	case stateGuarding:
+		c.stepGuarding(now)
 	case stateAborting:
 		c.stepAborting(now)
 	case stateReleasing:
@@ -153,21 +155,35 @@
 
 // outbid raises the number of an attempt that must be followed, when a higher one was heard since.
 func (c *Core) outbid() {
-	must := c.lead.state == stateSettling || c.lead.state == stateAborting
+	must := c.lead.state == stateSettling || c.lead.state == stateGuarding || c.lead.state == stateAborting
 	if must && c.highest > c.lead.attempt.Number {
 		c.publish(c.lead.attempt)
 	}
 }
 
-// find takes up a hold that an earlier process of this slot left behind.
-func (c *Core) find() {
-	if c.engine.Held == 0 || c.inflight != nil {
+// find takes up a hold that an earlier process of this slot left behind, at its own engine or at a guard's.
+func (c *Core) find(now time.Time) {
+	step := c.engine.Held
+	if step == 0 && c.lead.attempt.Phase == PhaseNone {
+		step = c.heldElsewhere(now)
+	}
+	if step == 0 || c.inflight != nil {
 		return
 	}
 	c.move("found")
-	c.lead.step = c.engine.Held
-	c.publish(Attempt{Phase: PhaseSettle, Step: c.engine.Held})
-	c.note("settle", "the engine holds and no attempt is in progress")
+	c.lead.step = step
+	c.publish(Attempt{Phase: PhaseSettle, Step: step})
+	c.note("settle", "an engine holds and no attempt is in progress")
+}
+
+// heldElsewhere returns the step that another rank's engine holds, or zero.
+func (c *Core) heldElsewhere(now time.Time) (step uint64) {
+	for rank, h := range c.ranks {
+		if rank != c.engine.Rank && now.Sub(h.at) <= stateAge {
+			step = max(step, h.Held)
+		}
+	}
+	return step
 }
 
 func (c *Core) stepPreparing(now time.Time) {
@@ -225,14 +241,58 @@
 
 // stepSettling releases a hold that was found. A lead releases an attempt only when all ranks are armed, and gives up
 // only while some rank is not. So one rank that is not armed proves that no release is on its way, and silence proves nothing.
+// While all are armed and a late order may disarm one, neither is known: a guard makes an abort safe.
 func (c *Core) stepSettling(now time.Time) {
+	if c.settled(now) {
+		return
+	}
+	if c.armed(now, c.engine.Armed, c.lead.step) && (c.engine.Held != 0 || c.heldElsewhere(now) != 0) {
+		c.move("guard")
+		c.guard(now)
+	}
+}
+
+// settled releases armed ranks that stay so, or aborts, and reports whether it did one of them.
+func (c *Core) settled(now time.Time) bool {
 	version := c.engine.Armed
 	switch {
 	case version != 0 && c.armed(now, version, c.lead.step) && c.firm(now):
 		c.move("all")
 		c.note("release", "all ranks are armed")
-	case c.engine.Armed == 0, c.rules.silence(), c.any(func(s State) bool { return c.followed(s) && s.Armed != version }):
+	case version == 0, c.rules.silence(), c.any(func(s State) bool { return c.followed(s) && s.Armed != version }):
 		c.abort("not all ranks are armed")
+	default:
+		return false
+	}
+	return true
+}
+
+// guard asks the next steady rank to hold the step too.
+func (c *Core) guard(now time.Time) {
+	a := c.lead.attempt
+	for range c.engine.Size {
+		a.Guard = (a.Guard + 1) % c.engine.Size
+		if h, ok := c.ranks[a.Guard]; ok && h.Steady && a.Guard != c.engine.Rank && now.Sub(h.at) <= stateAge {
+			break
+		}
+	}
+	a.Phase = PhaseGuard
+	c.lead.due = now.Add(armTime)
+	c.publish(a)
+	c.note("guard", "a late order may disarm a rank")
+}
+
+// stepGuarding aborts once a guard holds the step: until the guard lets it go at the end of the attempt, no pass begins
+// that ranks with different maps would take part in.
+func (c *Core) stepGuarding(now time.Time) {
+	h := c.ranks[c.lead.attempt.Guard]
+	held := now.Sub(h.at) <= stateAge && c.followed(h.State) && h.Guards && h.Held == c.lead.step
+	switch {
+	case c.rules.guarded(held):
+		c.abort("a guard holds")
+	case c.settled(now):
+	case now.After(c.lead.due):
+		c.guard(now)
 	}
 }
 
--- a/internal/group/hold/world_test.go
+++ b/internal/group/hold/world_test.go
@@ -257,3 +257,15 @@
 		w.pass(50 * time.Millisecond)
 	}
 }
+
+// hurry lets one slot act after the other, with a pass and a few milliseconds after each.
+func (w *world) hurry() {
+	w.faults = false
+	rank := w.random.IntN(worldRanks)
+	w.follow(rank)
+	if len(w.news) > 0 {
+		w.deliver(w.random.IntN(len(w.news)))
+	}
+	w.begin()
+	w.pass(5 * time.Millisecond)
+}
--- a/internal/process/sidecar/sidecar_convert.go
+++ b/internal/process/sidecar/sidecar_convert.go
@@ -9,7 +9,7 @@
 	return &message.RankState{
 		Life: s.Life, Group: s.Group, Epoch: s.Epoch, Rank: uint32(s.Rank), Size: uint32(s.Size), Open: s.Open, Step: s.Step, Map: s.Map,
 		Prepared: s.Prepared, Armed: s.Armed, At: s.At, Held: s.Held, Clean: s.Clean, Firm: s.Firm,
-		Attempt: s.Ballot.Number, Lead: s.Ballot.Lead, Phase: uint32(s.Phase), Refused: s.Refused,
+		Attempt: s.Ballot.Number, Lead: s.Ballot.Lead, Phase: uint32(s.Phase), Refused: s.Refused, Steady: s.Steady, Guards: s.Guards,
 	}
 }
 
@@ -17,7 +17,7 @@
 	return hold.State{
 		Life: m.Life, Group: m.Group, Epoch: m.Epoch, Rank: int(m.Rank), Size: int(m.Size), Open: m.Open, Step: m.Step, Map: m.Map,
 		Prepared: m.Prepared, Armed: m.Armed, At: m.At, Held: m.Held, Clean: m.Clean, Firm: m.Firm,
-		Ballot: hold.Ballot{Number: m.Attempt, Lead: m.Lead}, Phase: hold.Phase(m.Phase), Refused: m.Refused,
+		Ballot: hold.Ballot{Number: m.Attempt, Lead: m.Lead}, Phase: hold.Phase(m.Phase), Refused: m.Refused, Steady: m.Steady, Guards: m.Guards,
 	}
 }
 
@@ -27,7 +27,7 @@
 	}
 	m := &message.Attempt{
 		Group: a.Group, Epoch: a.Epoch, Number: a.Number, Lead: a.Lead, Phase: uint32(a.Phase), Version: a.Version, Step: a.Step,
-		Lives: a.Lives,
+		Lives: a.Lives, Guard: uint32(a.Guard),
 	}
 	for _, set := range a.Map {
 		s := &message.SetMap{}
@@ -45,7 +45,7 @@
 	}
 	a := &hold.Attempt{
 		Ballot: hold.Ballot{Number: m.Number, Lead: m.Lead}, Group: m.Group, Epoch: m.Epoch, Phase: hold.Phase(m.Phase),
-		Version: m.Version, Step: m.Step, Lives: m.Lives,
+		Version: m.Version, Step: m.Step, Lives: m.Lives, Guard: int(m.Guard),
 	}
 	for _, s := range m.Sets {
 		var set [][]int
