Ask only a steady rank to guard, and let a held group be while there is none

Found on reading the guard's hold again: with no steady rank (all slots ended at once) the choice came back to the lead itself, whose engine accepted the same hold again and again, so its slot gave orders in a tight loop until late orders were over. Test: TestNoGuardWithoutASteadyRank failed before (state guarding).

--- a/internal/group/hold/hold_test.go
+++ b/internal/group/hold/hold_test.go
@@ -184,6 +184,24 @@
 	}
 }
 
+// TestNoGuardWithoutASteadyRank ends the processes of all ranks once all are armed: no slot knows that its engine cannot be let go
+// late, so none may guard, and the lead must not order its own engine again and again.
+func TestNoGuardWithoutASteadyRank(t *testing.T) {
+	is := is.New(t)
+	w := newArmedWorld(t, nil)
+	for rank := range worldRanks {
+		w.restart(rank)
+	}
+	w.settle(10)
+	is.Equal(w.slots[0].lead.state, stateSettling)
+	for rank := range worldRanks {
+		is.True(!w.slots[rank].Wants(w.now))
+	}
+	w.settle(settleRounds)
+	is.Equal(w.engines[0].Held, uint64(0))
+	is.Equal(w.broken, "")
+}
+
 // TestLateReleaseMeetsTheGuard lets the release of the ended lead be carried out at any moment while its successor aborts: the
 // guard's hold must keep the group until no rank is armed. Without waiting for the guard, some moment must break the rule.
 func TestLateReleaseMeetsTheGuard(t *testing.T) {
--- a/internal/group/hold/lead.go
+++ b/internal/group/hold/lead.go
@@ -41,13 +41,19 @@
 // count returns the number of ranks that told lately that a condition holds.
 func (c *Core) count(now time.Time, condition func(State) bool) (n int) {
 	for rank := range c.engine.Size {
-		if h, ok := c.ranks[rank]; ok && now.Sub(h.at) <= stateAge && condition(h.State) {
+		if s, ok := c.recent(now, rank); ok && condition(s) {
 			n++
 		}
 	}
 	return n
 }
 
+// recent returns the state of a rank, and false where it did not tell one lately.
+func (c *Core) recent(now time.Time, rank int) (s State, ok bool) {
+	h, ok := c.ranks[rank]
+	return h.State, ok && now.Sub(h.at) <= stateAge
+}
+
 // armed reports whether all ranks follow the attempt and are armed for its step.
 func (c *Core) armed(now time.Time, version, step uint64) bool {
 	n := c.count(now, func(s State) bool { return c.followed(s) && s.Armed == version && s.At == step })
@@ -178,9 +184,9 @@
 
 // heldElsewhere returns the step that another rank's engine holds, or zero.
 func (c *Core) heldElsewhere(now time.Time) (step uint64) {
-	for rank, h := range c.ranks {
-		if rank != c.engine.Rank && now.Sub(h.at) <= stateAge {
-			step = max(step, h.Held)
+	for rank := range c.ranks {
+		if s, ok := c.recent(now, rank); ok && rank != c.engine.Rank {
+			step = max(step, s.Held)
 		}
 	}
 	return step
@@ -246,9 +252,12 @@
 	if c.settled(now) {
 		return
 	}
-	if c.armed(now, c.engine.Armed, c.lead.step) && (c.engine.Held != 0 || c.heldElsewhere(now) != 0) {
+	if !c.armed(now, c.engine.Armed, c.lead.step) || c.engine.Held == 0 && c.heldElsewhere(now) == 0 {
+		return
+	}
+	if guard, ok := c.nextGuard(now); ok {
 		c.move("guard")
-		c.guard(now)
+		c.guard(now, guard)
 	}
 }
 
@@ -267,16 +276,21 @@
 	return true
 }
 
-// guard asks the next steady rank to hold the step too.
-func (c *Core) guard(now time.Time) {
-	a := c.lead.attempt
-	for range c.engine.Size {
-		a.Guard = (a.Guard + 1) % c.engine.Size
-		if h, ok := c.ranks[a.Guard]; ok && h.Steady && a.Guard != c.engine.Rank && now.Sub(h.at) <= stateAge {
-			break
+// nextGuard returns the next steady rank after the present guard, and false while no other rank than the lead's is steady.
+func (c *Core) nextGuard(now time.Time) (rank int, ok bool) {
+	for i := range c.engine.Size {
+		rank = (c.lead.attempt.Guard + 1 + i) % c.engine.Size
+		if s, ok := c.recent(now, rank); ok && s.Steady && rank != c.engine.Rank {
+			return rank, true
 		}
 	}
-	a.Phase = PhaseGuard
+	return 0, false
+}
+
+// guard asks a rank to hold the step too.
+func (c *Core) guard(now time.Time, rank int) {
+	a := c.lead.attempt
+	a.Phase, a.Guard = PhaseGuard, rank
 	c.lead.due = now.Add(armTime)
 	c.publish(a)
 	c.note("guard", "a late order may disarm a rank")
@@ -285,14 +299,16 @@
 // stepGuarding aborts once a guard holds the step: until the guard lets it go at the end of the attempt, no pass begins
 // that ranks with different maps would take part in.
 func (c *Core) stepGuarding(now time.Time) {
-	h := c.ranks[c.lead.attempt.Guard]
-	held := now.Sub(h.at) <= stateAge && c.followed(h.State) && h.Guards && h.Held == c.lead.step
-	switch {
-	case c.rules.guarded(held):
+	s, ok := c.recent(now, c.lead.attempt.Guard)
+	if c.rules.guarded(ok && c.followed(s) && s.Guards && s.Held == c.lead.step) {
 		c.abort("a guard holds")
-	case c.settled(now):
-	case now.After(c.lead.due):
-		c.guard(now)
+		return
+	}
+	if c.settled(now) || !now.After(c.lead.due) {
+		return
+	}
+	if guard, ok := c.nextGuard(now); ok {
+		c.guard(now, guard)
 	}
 }
 
