Drop the revision of the configuration that nobody reads, and encode an attempt only for slots that need it

Two readings in place of a flag of which each caller used one value; the lead encoded a whole map in each turn also when all ranks followed it. No change of behaviour.

--- a/internal/operator/commands/platform.go
+++ b/internal/operator/commands/platform.go
@@ -130,7 +130,7 @@
 	p := sidecar.New(sidecar.Options{
 		Settings:      s,
 		Engine:        sidecar.Engine{Report: engine.Report, Counts: engine.Counts, Experts: engine.Experts, Order: engine.Order},
-		Configuration: platform.NewStore(s.Store).Configuration,
+		Configuration: platform.NewStore(s.Store).OldConfiguration,
 		Log:           file.log, Incarnation: rand.Uint64(), Now: time.Now,
 	})
 	go file.follow(ctx, p.Reload)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -52,8 +52,8 @@
 
 // Store reads the platform's store.
 type Store struct {
-	// Configuration reads the newest configuration, which may be nil, and the store's revision; an old one is cheaper.
-	Configuration func(ctx context.Context, old bool) (*site.Configuration, int64, error)
+	// Configuration reads the newest configuration, which may be nil.
+	Configuration func(ctx context.Context) (*site.Configuration, error)
 	// Changes waits for changes after a revision.
 	Changes func(ctx context.Context, after int64, wait time.Duration) (site.Changes, error)
 	// Targets lists the targets' entries, with the store's revision.
--- a/internal/process/gateway/gateway_follow.go
+++ b/internal/process/gateway/gateway_follow.go
@@ -102,7 +102,7 @@
 		return err
 	}
 	p.counts.reads.With("call", "configuration").Add(1)
-	c, _, err := p.Store.Configuration(ctx, false)
+	c, err := p.Store.Configuration(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -60,8 +60,8 @@
 type Options struct {
 	Settings *site.Settings
 	Engine   Engine
-	// Configuration reads the configuration, which may be nil; an old one is cheaper.
-	Configuration func(ctx context.Context, old bool) (*site.Configuration, int64, error)
+	// Configuration reads the configuration, which may be old or nil.
+	Configuration func(ctx context.Context) (*site.Configuration, error)
 	Log           *slog.Logger
 	// Incarnation is chosen at random.
 	Incarnation uint64
@@ -193,8 +193,7 @@
 func (p *Process) readOnce(ctx context.Context) (*site.Configuration, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	c, _, err := p.Configuration(ctx, true)
-	return c, err
+	return p.Configuration(ctx)
 }
 
 func (p *Process) accept(c *site.Configuration) {
--- a/internal/process/sidecar/sidecar_tell.go
+++ b/internal/process/sidecar/sidecar_tell.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/group/hold"
+	"github.com/dragonflydeal/dragonflydeal/internal/wire/message"
 )
 
 const (
@@ -96,23 +97,10 @@
 	if !p.called.due(now, key, interval) {
 		return
 	}
-	var following []netip.AddrPort
+	behind, following := p.split(a)
 	state := encodeState(p.core.State(now))
-	whole, full := encodeAttempt(a), false
-	for _, address := range p.inTurn() {
-		s, ok := p.ranks[address]
-		if a == nil || ok && s.Ballot == a.Ballot && s.Phase >= a.Phase {
-			following = append(following, address)
-			continue
-		}
-		n := p.news()
-		n.Rank, n.Attempt = state, whole
-		// What finds no room is sent in the next turn, before what was sent already.
-		if full = full || !p.link.AllowN(now, min(proto.Size(n), attemptBurst)); full {
-			continue
-		}
-		p.wholes[address] = now
-		p.send(n, []netip.AddrPort{address})
+	if len(behind) > 0 {
+		p.sendWhole(now, &message.News{Rank: state, Attempt: encodeAttempt(a)}, behind)
 	}
 	if len(following) > 0 {
 		n := p.news()
@@ -121,13 +109,34 @@
 	}
 }
 
-// inTurn returns the addresses of the other slots, those first that were sent a whole attempt longest ago; mu is held.
-func (p *Process) inTurn() []netip.AddrPort {
-	addresses := p.mesh.Addresses(true)
-	slices.SortFunc(addresses, func(a, b netip.AddrPort) int {
+// split returns the addresses of the slots that need the whole attempt and of those that follow it already; mu is held.
+func (p *Process) split(a *hold.Attempt) (behind, following []netip.AddrPort) {
+	for _, address := range p.mesh.Addresses(true) {
+		s, ok := p.ranks[address]
+		if a == nil || ok && s.Ballot == a.Ballot && s.Phase >= a.Phase {
+			following = append(following, address)
+		} else {
+			behind = append(behind, address)
+		}
+	}
+	return behind, following
+}
+
+// sendWhole sends a whole attempt as far as the link has room, first to those that were sent one longest ago: the rest
+// gets it in the next turn; mu is held.
+func (p *Process) sendWhole(now time.Time, whole *message.News, behind []netip.AddrPort) {
+	slices.SortFunc(behind, func(a, b netip.AddrPort) int {
 		return cmp.Or(p.wholes[a].Compare(p.wholes[b]), a.Compare(b))
 	})
-	return addresses
+	for _, address := range behind {
+		n := p.news()
+		n.Rank, n.Attempt = whole.Rank, whole.Attempt
+		if !p.link.AllowN(now, min(proto.Size(n), attemptBurst)) {
+			return
+		}
+		p.wholes[address] = now
+		p.send(n, []netip.AddrPort{address})
+	}
 }
 
 // tellLead sends the own state to the lead, with what was counted when it is this rank's turn; mu is held.
