Log a fingerprint of requests and the end of a restarted target

The lines of an entry named requests by the ID of the caller's attempt, which is new at each resend, so they could not show that equal requests reached several engines, and a target that restarted under its ID had no line about its end. "attempt failed" and "request ended" now carry a fingerprint of workspace, host, path and body, and the old incarnation is logged as gone. The hash is the one that the product's entries use, moved to package suspect. No decision changes.

--- a/internal/core/entry/entry_request.go
+++ b/internal/core/entry/entry_request.go
@@ -6,14 +6,13 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/dragonflydeal/dragonflydeal/internal/base/chart"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/configuration"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/membership"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/answer"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/key"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/suspect"
 )
 
 const (
@@ -92,7 +91,7 @@
 		route: r,
 		request: call.Request{
 			ID: a.ID, Answer: a.Answer, Workspace: a.Workspace, Route: r.Name, Path: a.Path, Key: a.Key,
-			Body: a.Body, Fingerprint: fingerprint(a.Workspace, r.Name, a.Body),
+			Body: a.Body, Fingerprint: suspect.Fingerprint(a.Body, a.Workspace, r.Name),
 		},
 		tried:     map[string]bool{},
 		assembler: answer.NewAssembler(a.ID, a.Offset),
@@ -120,17 +119,6 @@
 	return c.send(now, x, t)
 }
 
-// fingerprint returns a hash of the workspace, route and body.
-func fingerprint(workspace, route string, body []byte) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(workspace)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(route)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.Write(body)
-	return d.Sum64()
-}
-
 // refuse answers a request that was not run and gets no exchange.
 func refuse(id string, status int, reason string, retryAfter time.Duration) []Action {
 	return []Action{{Finish: &Finish{
--- a/internal/edge/target/target.go
+++ b/internal/edge/target/target.go
@@ -35,7 +35,8 @@
 
 // Change is a change of a target in a new list.
 type Change struct {
-	// Event is joined, leaving, gone, or kept if a leaving target stays after all.
+	// Event is joined, leaving, gone, or kept if a leaving target stays after all. A target that restarts under the same
+	// ID is gone and joins.
 	Event string
 	Member
 }
@@ -97,10 +98,14 @@
 	m := r.members[t.ID]
 	switch {
 	case m == nil || m.StartUnixMilli != t.StartUnixMilli || m.Address != t.Address:
+		var changes []Change
+		if m != nil {
+			changes = append(changes, Change{Event: "gone", Member: *m})
+		}
 		m = &Member{Target: t, Hash: Hash(&t)}
 		m.Others = r.otherLoads[m.Hash]
 		r.members[t.ID] = m
-		return []Change{{Event: "joined", Member: *m}}
+		return append(changes, Change{Event: "joined", Member: *m})
 	case !m.Leaving && t.Leaving:
 		m.Leaving = true
 		return []Change{{Event: "leaving", Member: *m}}
--- a/internal/edge/target/target_test.go
+++ b/internal/edge/target/target_test.go
@@ -71,7 +71,11 @@
 	r.Apply(start, []site.Target{testTarget("1", 1, false)})
 	old := r.Service("holds")[0]
 	old.Own = 3
-	r.Apply(start, []site.Target{testTarget("1", 2, false)})
+	changes := r.Apply(start, []site.Target{testTarget("1", 2, false)})
+	is.Equal(len(changes), 2)
+	is.Equal(changes[0].Event, "gone")
+	is.Equal(changes[0].Hash, old.Hash)
+	is.Equal(changes[1].Event, "joined")
 	is.Equal(r.Running("holds"), 0)
 	is.True(r.Service("holds")[0].Hash != old.Hash)
 }
--- a/internal/process/gateway/gateway_attempt.go
+++ b/internal/process/gateway/gateway_attempt.go
@@ -164,7 +164,7 @@
 		v.releaseTarget(m, result != outcomeServed && result != outcomeCallerLeft)
 		p.metrics.attempts.With("outcome", result.String()).Add(1)
 		if result != outcomeServed {
-			p.Log.Info("attempt failed", "id", v.ID, "target", m.ID, "address", m.Address, "attempt", v.attempts,
+			p.Log.Info("attempt failed", "id", v.ID, "fingerprint", formatFingerprint(v.fingerprint), "target", m.ID, "address", m.Address, "attempt", v.attempts,
 				"outcome", result, "reason", reason, "took", p.Now().Sub(began), "running", m.Running())
 		}
 	}()
--- a/internal/process/gateway/gateway_serve.go
+++ b/internal/process/gateway/gateway_serve.go
@@ -8,6 +8,7 @@
 
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/call"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/site"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/suspect"
 )
 
 const (
@@ -33,6 +34,8 @@
 	service       *site.Service
 	workspace     string
 	priority      int
+	// fingerprint is the same for equal requests; each has an ID of its own.
+	fingerprint uint64
 	// began is when the request arrived, and deadline when its answer must be complete.
 	began, deadline time.Time
 	// tried holds the IDs of the targets that the request was sent to.
@@ -93,6 +96,7 @@
 	if c.RequiresKeys && !v.route.Public && !v.authorize(c) {
 		return false
 	}
+	v.fingerprint = suspect.Fingerprint(v.Body, v.workspace, v.Host, v.Path, v.Query)
 	limit := v.route.Timeout
 	if limit <= 0 {
 		limit = defaultTimeout
@@ -169,6 +173,11 @@
 	v.finish("status="+strconv.Itoa(status), reason)
 }
 
+// formatFingerprint returns a fingerprint as logs have it.
+func formatFingerprint(fingerprint uint64) string {
+	return strconv.FormatUint(fingerprint, 16)
+}
+
 // finish logs and counts the end of a request.
 func (v *request) finish(outcome, reason string) {
 	p := v.process
@@ -184,6 +193,6 @@
 		route = v.route.Name
 	}
 	age, _ := p.configurationAge()
-	p.Log.Info("request ended", "id", v.ID, "route", route, "workspace", v.workspace, "outcome", outcome, "reason", reason,
+	p.Log.Info("request ended", "id", v.ID, "fingerprint", formatFingerprint(v.fingerprint), "route", route, "workspace", v.workspace, "outcome", outcome, "reason", reason,
 		"took", took, "sends", v.attempts, "runs", v.runs, "version", versionOf(v.configuration), "age", age)
 }
