--- a/internal/proof/edge/rig_test.go
+++ b/internal/proof/edge/rig_test.go
@@ -53,6 +53,14 @@
 	s.values[key] = item
 }
 
+// remove replaces a key by a tombstone.
+func (s *store) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.values[key] = json.RawMessage(fmt.Sprintf(`{"key":%q,"rev":%d,"tombstone":true}`, key, s.revision))
+}
+
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.calls.Add(1)
 	if s.unavailable.Load() {
@@ -119,8 +127,10 @@
 // target is a fake target; handle serves its requests.
 type target struct {
 	*httptest.Server
-	id     string
-	handle http.HandlerFunc
+	id string
+	// number is that of the data centre, and born increases with each restart.
+	number, born int
+	handle       http.HandlerFunc
 
 	mu sync.Mutex
 	// arrivals holds the headers of the requests received; guarded by mu.
@@ -140,16 +150,32 @@
 	return len(t.arrivals)
 }
 
-// rig is one entry with a fake store and fake targets.
+// rig is a fake store and fake targets with one or more entries. The first entry is embedded.
 type rig struct {
+	*entry
 	t       *testing.T
 	store   *store
+	address netip.AddrPort
 	targets []*target
-	front   string
-	ready   string
-	stop    context.CancelFunc
+	entries []*entry
+}
+
+// entry is one entry of a rig.
+type entry struct {
+	settings *site.Settings
+	front    string
+	ready    string
+	stop     context.CancelFunc
 	// ended is closed once the entry's Run has returned.
 	ended chan struct{}
+	// frozen is locked while the entry is frozen: it stops wherever it reads the clock.
+	frozen sync.RWMutex
+}
+
+func (e *entry) now() time.Time {
+	e.frozen.RLock()
+	defer e.frozen.RUnlock()
+	return time.Now()
 }
 
 // The API key and the workspace of the rig's requests.
@@ -185,47 +211,78 @@
 // newRig starts an entry with a target for each handler, in the order in which the entry prefers them.
 func newRig(t *testing.T, revoke time.Duration, handlers ...http.HandlerFunc) *rig {
 	t.Helper()
-	r := &rig{t: t, store: &store{values: map[string]json.RawMessage{}}, ended: make(chan struct{})}
+	return newSite(t, 1, revoke, handlers...)
+}
+
+// newSite starts entries that know each other, with a target for each handler.
+func newSite(t *testing.T, entries int, revoke time.Duration, handlers ...http.HandlerFunc) *rig {
+	t.Helper()
+	r := &rig{t: t, store: &store{values: map[string]json.RawMessage{}}}
 	storeServer := httptest.NewServer(r.store)
 	t.Cleanup(storeServer.Close)
+	r.address = netip.MustParseAddrPort(storeServer.Listener.Addr().String())
 	r.configure(1, testKey)
 	for i, handle := range handlers {
-		x := &target{id: fmt.Sprintf("i-%d", i), handle: handle}
+		x := &target{id: fmt.Sprintf("i-%d", i), number: i, born: 1, handle: handle}
 		x.Server = httptest.NewServer(x)
-		t.Cleanup(x.Close)
+		t.Cleanup(func() { x.Server.Close() })
 		r.targets = append(r.targets, x)
 		r.registerTarget(x, i, "ready")
 	}
-	front, ready := loopback.FreeAddress(t), loopback.FreeAddress(t)
-	r.front, r.ready = "http://"+front.String(), "http://"+ready.String()
+	// All entries use the same port for their datagrams.
+	peers := loopback.FreeAddress(t)
+	for i := range entries {
+		r.addEntry(i, revoke, peers)
+	}
+	r.entry = r.entries[0]
+	for _, e := range r.entries {
+		r.start(e)
+		r.await(func() bool { return r.callAt(e, "GET", "/warm/", nil).status == http.StatusOK || len(handlers) == 0 })
+	}
+	return r
+}
+
+// addEntry adds an entry that is not started. The first entry is the seed of all.
+func (r *rig) addEntry(number int, revoke time.Duration, seed netip.AddrPort) *entry {
+	host := seed.Addr().As4()
+	host[2] += byte(number)
+	front, ready := loopback.FreeAddress(r.t), loopback.FreeAddress(r.t)
+	e := &entry{front: "http://" + front.String(), ready: "http://" + ready.String(), settings: &site.Settings{
+		Name: fmt.Sprintf("entry-%d", number), Centre: "c0", Peers: netip.AddrPortFrom(netip.AddrFrom4(host), seed.Port()),
+		Seeds: []netip.AddrPort{seed}, Metrics: loopback.FreeAddress(r.t), Callers: front, Ready: ready, History: 20 * time.Second,
+		Grace: 8 * time.Second, Revoke: revoke, Retries: site.RetryBound{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
+	}}
+	r.entries = append(r.entries, e)
+	return e
+}
+
+// start starts an entry, also again after it has ended, and waits until it is ready.
+func (r *rig) start(e *entry) {
+	r.t.Helper()
 	boot, err := boottime.New()
 	if err != nil {
-		t.Fatal(err)
+		r.t.Fatal(err)
 	}
-	s := platform.NewStore(netip.MustParseAddrPort(storeServer.Listener.Addr().String()))
+	s := platform.NewStore(r.address)
 	p := gateway.New(gateway.Options{
-		Settings: &site.Settings{
-			Name: "entry", Centre: "c0", Peers: loopback.FreeAddress(t), Metrics: loopback.FreeAddress(t), Callers: front, Ready: ready, History: 20 * time.Second,
-			Grace: 8 * time.Second, Revoke: revoke, Retries: site.RetryBound{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
-		},
+		Settings: e.settings,
 		Codec: gateway.Codec{
 			DecodeCall: platform.DecodeCall, NewRequest: platform.NewRequest, DecodeAnswer: platform.DecodeAnswer, SetAttemptID: platform.SetAttemptID,
 		},
 		Store: gateway.Store{Configuration: s.Configuration, Changes: s.Changes, Targets: s.Targets, Close: s.Close},
-		Log:   slog.New(slog.DiscardHandler), Random: rand.New(rand.NewPCG(1, 2)), Now: time.Now, Boot: boot,
+		Log:   slog.New(slog.DiscardHandler), Random: rand.New(rand.NewPCG(1, uint64(time.Now().UnixNano()))), Now: e.now, Boot: boot,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	r.stop = cancel
+	ended := make(chan struct{})
+	e.stop, e.ended = cancel, ended
 	go func() {
-		defer close(r.ended)
+		defer close(ended)
 		if err := p.Run(ctx); err != nil {
-			t.Error(err)
+			r.t.Error(err)
 		}
 	}()
-	t.Cleanup(func() { cancel(); <-r.ended })
-	r.await(func() bool { return r.status(r.ready) == http.StatusOK })
-	r.await(func() bool { return r.call("GET", "/warm/", nil).status == http.StatusOK || len(handlers) == 0 })
-	return r
+	r.t.Cleanup(func() { cancel(); <-ended })
+	r.await(func() bool { return r.status(e.ready) == http.StatusOK })
 }
 
 func (r *rig) await(condition func() bool) {
@@ -241,7 +298,7 @@
 // registerTarget publishes a target in the store; a higher number means a more distant data centre.
 func (r *rig) registerTarget(x *target, number int, state string) {
 	r.store.put("servers/"+x.id, map[string]any{
-		"service": "holds", "addr": x.Listener.Addr().String(), "zone": fmt.Sprintf("c%d", number), "slots": 6, "state": state, "born": 1,
+		"service": "holds", "addr": x.Listener.Addr().String(), "zone": fmt.Sprintf("c%d", number), "slots": 6, "state": state, "born": x.born,
 	})
 }
 
@@ -278,9 +335,14 @@
 
 var attempts atomic.Int64
 
-// call sends one request on a new connection.
+// call sends one request to the first entry on a new connection.
 func (r *rig) call(method, path string, edit func(*http.Request)) answer {
-	q, err := http.NewRequest(method, r.front+path, nil)
+	return r.callAt(r.entry, method, path, edit)
+}
+
+// callAt sends one request to an entry on a new connection.
+func (r *rig) callAt(e *entry, method, path string, edit func(*http.Request)) answer {
+	q, err := http.NewRequest(method, e.front+path, nil)
 	if err != nil {
 		r.t.Fatal(err)
 	}
@@ -291,7 +353,7 @@
 	if edit != nil {
 		edit(q)
 	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 10 * time.Second}
 	response, err := client.Do(q)
 	if err != nil {
 		return answer{err: err}
