Test crashing requests with entries that are cut off, frozen or restarted

Copies through all four entries at once, entries cut off from each other, an entry that restarts six times, one frozen three times with the request in its hands, a seed that restarts and an entry that starts after the verdict; requests that run beside a crashing one, beside kills, or whose connections are reset by targets that live on.

Found on the way: a run that ends after its target has left the list (a silent crash, noticed at the time limit) stayed undecided; it counts as ended now. Runs are resolved by the store's watches too, not only by complete reads, so that a request whose targets live on waits 6 s, not 10.

--- a/internal/process/gateway/gateway_follow.go
+++ b/internal/process/gateway/gateway_follow.go
@@ -33,7 +33,7 @@
 type storeState struct {
 	// revision is that of the latest change read; zero requests a full read.
 	revision int64
-	// lastFullRead is the start of the latest read of everything.
+	// lastFullRead is when everything was last read.
 	lastFullRead time.Time
 	// targets holds the valid targets by ID, and invalid the errors of the records that could not be decoded.
 	targets map[string]site.Target
@@ -69,7 +69,7 @@
 			p.Log.Info("store regained", "version", p.version())
 			s.reachable = true
 		}
-		p.applyTargets(slices.Collect(maps.Values(s.targets)), s.lastFullRead)
+		p.applyTargets(slices.Collect(maps.Values(s.targets)), began)
 		node.Pause(ctx, minWatchInterval-p.Now().Sub(began))
 	}
 }
@@ -97,7 +97,6 @@
 func (p *Process) readAll(ctx context.Context, s *storeState) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	began := p.Now()
 	p.metrics.storeCalls.With("call", "targets").Add(1)
 	list, listRevision, err := p.Store.Targets(ctx)
 	if err != nil {
@@ -108,7 +107,7 @@
 	if err != nil {
 		return err
 	}
-	s.lastFullRead = began
+	s.lastFullRead = p.Now()
 	if s.revision == 0 {
 		// The configuration was read after the list, so watching from this revision misses no change of either.
 		s.revision = listRevision
@@ -182,8 +181,8 @@
 	return versionOf(p.configuration.Load())
 }
 
-// applyTargets replaces the known targets. What became of their lost runs is decided as of the latest read of everything.
-func (p *Process) applyTargets(list []site.Target, lastFullRead time.Time) {
+// applyTargets replaces the known targets by a list that is at least as recent as the given time.
+func (p *Process) applyTargets(list []site.Target, readAt time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Now()
@@ -191,5 +190,5 @@
 		p.applyChange(now, c)
 		p.Log.Info("target "+c.Event, "target", c.ID, "service", c.Service, "address", c.Address, "centre", c.Centre, "own", c.Own)
 	}
-	p.resolveRuns(now, lastFullRead)
+	p.resolveRuns(now, readAt)
 }
--- a/internal/process/gateway/gateway_suspect.go
+++ b/internal/process/gateway/gateway_suspect.go
@@ -79,12 +79,17 @@
 	if v.fate == suspect.FateNone {
 		return
 	}
-	r := suspect.LostRun{Fingerprint: v.fingerprint, Target: m.Hash, Fate: v.fate, At: now}
-	if !p.suspects.Lose(now, r) || v.fate != suspect.FateOpen {
+	fate := v.fate
+	if !m.Leaving && !p.registry.Lists(m.Hash) {
+		fate = suspect.FateEnded
+	}
+	r := suspect.LostRun{Fingerprint: v.fingerprint, Target: m.Hash, Fate: fate, At: now}
+	if !p.suspects.Lose(now, r) || fate == suspect.FateSilent {
 		return
 	}
-	p.Log.Info("run lost", "id", v.ID, "fingerprint", formatFingerprint(v.fingerprint), "target", m.ID, "verdict", p.suspects.Verdict(now, v.fingerprint))
-	p.metrics.lostRuns.With("event", suspect.FateOpen.String()).Add(1)
+	p.Log.Info("run lost", "id", v.ID, "fingerprint", formatFingerprint(v.fingerprint), "target", m.ID, "fate", fate,
+		"verdict", p.suspects.Verdict(now, v.fingerprint))
+	p.metrics.lostRuns.With("event", fate.String()).Add(1)
 	p.sendRuns(now)
 }
 
@@ -124,8 +129,8 @@
 	}
 }
 
-// resolveRuns decides the lost runs whose targets would be gone from a list read at the given time, had they ended; mu is
-// held.
+// resolveRuns decides the lost runs whose targets would no longer be listed at readAt, had they ended. After an outage of the store
+// the records of ended targets may still be there; mu is held.
 func (p *Process) resolveRuns(now, readAt time.Time) {
 	if readAt.Sub(p.registry.OutageEndedAt()) < p.removalTime() {
 		return
--- a/internal/proof/edge/rig_test.go
+++ b/internal/proof/edge/rig_test.go
@@ -144,6 +144,20 @@
 	t.handle(w, r)
 }
 
+// listen serves at an address.
+func (t *target) listen(test *testing.T, address string) {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		test.Error(err)
+		return
+	}
+	server := httptest.NewUnstartedServer(t)
+	server.Listener.Close()
+	server.Listener = l
+	server.Start()
+	t.Server = server
+}
+
 func (t *target) count() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -158,10 +172,13 @@
 	address netip.AddrPort
 	targets []*target
 	entries []*entry
+	// split is set while entries of odd and of even numbers do not reach each other.
+	split atomic.Bool
 }
 
 // entry is one entry of a rig.
 type entry struct {
+	number   int
 	settings *site.Settings
 	front    string
 	ready    string
@@ -224,7 +241,7 @@
 	r.configure(1, testKey)
 	for i, handle := range handlers {
 		x := &target{id: fmt.Sprintf("i-%d", i), number: i, born: 1, handle: handle}
-		x.Server = httptest.NewServer(x)
+		x.listen(t, loopback.FreeAddress(t).String())
 		t.Cleanup(func() { x.Close() })
 		r.targets = append(r.targets, x)
 		r.registerTarget(x, i, "ready")
@@ -247,7 +264,7 @@
 	host := seed.Addr().As4()
 	host[2] += byte(number)
 	front, ready := loopback.FreeAddress(r.t), loopback.FreeAddress(r.t)
-	e := &entry{front: "http://" + front.String(), ready: "http://" + ready.String(), settings: &site.Settings{
+	e := &entry{number: number, front: "http://" + front.String(), ready: "http://" + ready.String(), settings: &site.Settings{
 		Name: fmt.Sprintf("entry-%d", number), Centre: "c0", Peers: netip.AddrPortFrom(netip.AddrFrom4(host), seed.Port()),
 		Seeds: []netip.AddrPort{seed}, Metrics: loopback.FreeAddress(r.t), Callers: front, Ready: ready, History: 20 * time.Second,
 		Grace: 8 * time.Second, Revoke: revoke, Retries: site.RetryBound{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
@@ -271,6 +288,10 @@
 		},
 		Store: gateway.Store{Configuration: s.Configuration, Changes: s.Changes, Targets: s.Targets, Close: s.Close},
 		Log:   slog.New(slog.DiscardHandler), Random: rand.New(rand.NewPCG(1, uint64(time.Now().UnixNano()))), Now: e.now, Boot: boot,
+		Reachable: func(address netip.AddrPort) bool {
+			distance := int(address.Addr().As4()[2]) - int(e.settings.Peers.Addr().As4()[2])
+			return !r.split.Load() || distance%2 == 0
+		},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
