Refuse HTTP/1.0 on the users' platform

A caller with HTTP/1.0 took a truncated stream for a complete one: its answer ends with its connection, and so does a truncated one. The product's entries refuse such callers with 505 (docs/DESIGN.md, "Whole answers"), the entries on the users' platform served them. Found by setting each promise beside both paths. Both now use the same check.

--- a/internal/process/entryd/entryd_callers.go
+++ b/internal/process/entryd/entryd_callers.go
@@ -16,6 +16,7 @@
 	httptransport "github.com/go-kit/kit/transport/http"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/core/entry"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/answer"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/key"
 )
@@ -71,8 +72,8 @@
 // readArrival decodes and checks a caller's request.
 func (p *Process) readArrival(_ context.Context, r *http.Request) (any, error) {
 	a := &entry.Arrival{Workspace: r.Header.Get(headerWorkspace), Path: r.URL.Path, Key: r.Header.Get(headerKey)}
-	if !r.ProtoAtLeast(1, 1) {
-		return nil, &requestError{status: http.StatusHTTPVersionNotSupported, reason: "HTTP/1.0 cannot signal a truncated answer; use HTTP/1.1"}
+	if !answer.ShowsTruncation(r) {
+		return nil, &requestError{status: http.StatusHTTPVersionNotSupported, reason: answer.ProtocolReason}
 	}
 	if r.Method != http.MethodPost {
 		return nil, &requestError{status: http.StatusMethodNotAllowed, reason: "use POST"}
--- a/internal/process/gateway/gateway_serve.go
+++ b/internal/process/gateway/gateway_serve.go
@@ -8,6 +8,7 @@
 
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/call"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/site"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/answer"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/suspect"
 )
 
@@ -64,6 +65,10 @@
 		limit = c.Body
 	}
 	v := &request{process: p, writer: w, caller: r, began: began, tried: map[string]bool{}}
+	if !answer.ShowsTruncation(r) {
+		v.refuse(http.StatusHTTPVersionNotSupported, answer.ProtocolReason, 0)
+		return
+	}
 	c, err := p.Codec.DecodeCall(r, limit)
 	var tooLarge *http.MaxBytesError
 	switch {
--- /dev/null
+++ b/internal/request/answer/answer_caller.go
@@ -0,0 +1,11 @@
+package answer
+
+import "net/http"
+
+// ProtocolReason is the reason given to a caller of a refused version of HTTP.
+const ProtocolReason = "HTTP/1.0 cannot signal a truncated answer; use HTTP/1.1"
+
+// ShowsTruncation reports whether the caller of a request would see that its answer is truncated.
+func ShowsTruncation(r *http.Request) bool {
+	return r.ProtoAtLeast(1, 1)
+}
