Abort callers that read nothing on the users' platform

A caller that reads nothing of its answer kept its request, and its seat in a group of engines, until its connection was gone, which may be never. The product's entries give up after 30 s (docs/DESIGN.md, "Whole answers"), the entries on the users' platform wrote without a limit. Both now use the same one. TestCallerThatReadsNothing failed before, 35 s after the request:

caller_test.go:82: not true: r.endedRequests() > 0

--- a/internal/process/entryd/entryd_writer.go
+++ b/internal/process/entryd/entryd_writer.go
@@ -7,12 +7,10 @@
 	"unicode/utf8"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/core/entry"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/answer"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
 )
 
-// writeTimeout is the time within which a caller must read a part of the answer.
-const writeTimeout = 30 * time.Second
-
 // writer writes one reply as an HTTP response.
 type writer struct {
 	w http.ResponseWriter
@@ -38,7 +36,7 @@
 // writePart writes a part and reports whether it was the last one.
 func (o *writer) writePart(v replyPart) (done bool) {
 	// If the caller reads nothing until the deadline, the connection is aborted and the answer truncated.
-	_ = o.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = o.control.SetWriteDeadline(time.Now().Add(answer.WriteTimeout))
 	if v.forward != nil {
 		return o.forward(v.forward)
 	}
--- a/internal/process/gateway/gateway_attempt.go
+++ b/internal/process/gateway/gateway_attempt.go
@@ -290,6 +290,7 @@
 	}
 	h.Set("Content-Length", strconv.Itoa(len(b.body)))
 	v.headersSent = true
+	v.limitWrite()
 	v.writer.WriteHeader(b.answer.Status)
 	if _, err := v.writer.Write(b.body); err != nil {
 		v.process.Log.Info("answer not delivered", "id", v.ID, "error", err)
--- a/internal/process/gateway/gateway_serve.go
+++ b/internal/process/gateway/gateway_serve.go
@@ -69,6 +69,7 @@
 		v.refuse(http.StatusHTTPVersionNotSupported, answer.ProtocolReason, 0)
 		return
 	}
+	defer v.clearWriteLimit()
 	c, err := p.Codec.DecodeCall(r, limit)
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -163,6 +164,22 @@
 	return age, p.settings.Load().Revoke == 0 || age < p.settings.Load().Revoke-revokeMargin
 }
 
+// limitWrite aborts the connection if the caller reads nothing of the next part of its answer in time.
+func (v *request) limitWrite() {
+	v.setWriteDeadline(v.process.Now().Add(answer.WriteTimeout))
+}
+
+// clearWriteLimit undoes limitWrite for the next request on the connection.
+func (v *request) clearWriteLimit() {
+	v.setWriteDeadline(time.Time{})
+}
+
+func (v *request) setWriteDeadline(at time.Time) {
+	if err := http.NewResponseController(v.writer).SetWriteDeadline(at); err != nil {
+		v.process.Log.Debug("write deadline not set", "error", err)
+	}
+}
+
 // remaining returns the time left until the request's deadline.
 func (v *request) remaining() time.Duration {
 	return v.deadline.Sub(v.process.Now())
--- a/internal/process/gateway/gateway_stream.go
+++ b/internal/process/gateway/gateway_stream.go
@@ -48,6 +48,7 @@
 		n, err := body.Read(buffer)
 		if complete := s.splitter.Add(buffer[:n]); len(complete) > 0 {
 			s.writeHeader(a)
+			s.limitWrite()
 			if _, e := s.writer.Write(complete); e != nil {
 				s.fate = suspect.FateSilent
 				return outcomeCallerLeft, nil, "caller left: " + e.Error()
--- a/internal/proof/edge/caller_test.go
+++ b/internal/proof/edge/caller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -10,6 +11,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	caller "github.com/dragonflydeal/dragonflydeal/internal/request/answer"
 )
 
 // sendRaw sends a request for a stream over a new connection and returns the connection.
@@ -36,3 +39,43 @@
 	is.Equal(response.StatusCode, http.StatusHTTPVersionNotSupported)
 	is.Equal(r.targets[0].count(), before)
 }
+
+// endedRequests returns the number of ended requests that had not got a full answer.
+func (r *rig) endedRequests() (n int) {
+	response, err := http.Get("http://" + r.settings.Metrics.String() + "/metrics")
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	var page struct{ Requests map[string]int }
+	if err := json.NewDecoder(response.Body).Decode(&page); err != nil {
+		r.t.Fatal(err)
+	}
+	for outcome, count := range page.Requests {
+		if strings.Contains(outcome, "left") || strings.Contains(outcome, "broken") {
+			n += count
+		}
+	}
+	return n
+}
+
+// TestCallerThatReadsNothing checks that a caller which reads nothing of its answer does not keep its request for ever.
+func TestCallerThatReadsNothing(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	text := strings.Repeat("x", 64<<10)
+	r := newRig(t, time.Minute, withWarmRoute(func(w http.ResponseWriter, q *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set("Attempt-Id", q.Header.Get("Attempt-Id"))
+		w.Header().Set("Engine-Seal", "seal")
+		for i := 1; q.Context().Err() == nil; i++ {
+			fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, text)
+		}
+	}))
+	r.sendRaw("HTTP/1.1")
+	began := time.Now()
+	for r.endedRequests() == 0 && time.Since(began) < caller.WriteTimeout+5*time.Second {
+		time.Sleep(100 * time.Millisecond)
+	}
+	is.True(r.endedRequests() > 0)
+}
--- a/internal/request/answer/answer_caller.go
+++ b/internal/request/answer/answer_caller.go
@@ -1,6 +1,12 @@
 package answer
 
-import "net/http"
+import (
+	"net/http"
+	"time"
+)
+
+// WriteTimeout is the time within which a caller must read a part of its answer.
+const WriteTimeout = 30 * time.Second
 
 // ProtocolReason is the reason given to a caller of a refused version of HTTP.
 const ProtocolReason = "HTTP/1.0 cannot signal a truncated answer; use HTTP/1.1"
