Limit the size of an event on the users' platform

A target that sends an event without an end filled the memory of an entry until the request's time was over. The product's slots keep at most 8 MiB of an answer; the entries on the users' platform, which keep no answer, had no limit for the part that they hold back. An attempt now ends when an event exceeds 1 MiB. TestEndlessEvent failed before:

caller_test.go:98: 504 != 502

--- a/internal/edge/events/events.go
+++ b/internal/edge/events/events.go
@@ -18,6 +18,9 @@
 	resumed bool
 }
 
+// maxEvent is the largest size of an event in bytes.
+const maxEvent = 1 << 20
+
 var (
 	eventEnd = []byte("\n\n")
 	idField  = []byte("id:")
@@ -83,6 +86,11 @@
 	return s.lastID
 }
 
+// TooLong reports whether the last event is incomplete and already larger than an event may be.
+func (s *Splitter) TooLong() bool {
+	return len(s.partial) > maxEvent
+}
+
 // Complete reports whether the added bytes end with a complete event.
 func (s *Splitter) Complete() bool {
 	return len(s.partial) == 0
--- a/internal/process/gateway/gateway_stream.go
+++ b/internal/process/gateway/gateway_stream.go
@@ -16,6 +16,9 @@
 // chunkSize is the size of the read buffer in bytes; an event is a few hundred bytes.
 const chunkSize = 8 << 10
 
+// errEventTooLong reports that a target sent an event without an end.
+var errEventTooLong = errors.New("event too long")
+
 // stream passes the events of one answer to the caller; the answer may come from several targets in turn.
 type stream struct {
 	*request
@@ -57,6 +60,8 @@
 			s.observeGap()
 		}
 		switch {
+		case s.splitter.TooLong():
+			return s.truncate(errEventTooLong)
 		case err == nil:
 			continue
 		case errors.Is(err, io.EOF) && s.splitter.Complete():
@@ -69,11 +74,16 @@
 			err = context.Cause(ctx)
 		}
 		s.fate = lostFate(ctx)
-		if s.headersSent {
-			return outcomeTruncated, nil, "stream truncated: " + err.Error()
-		}
-		return outcomeUnknown, nil, "stream truncated before its first event: " + err.Error()
+		return s.truncate(err)
+	}
+}
+
+// truncate ends an attempt whose stream is not complete.
+func (s *stream) truncate(err error) (outcome, *bufferedAnswer, string) {
+	if s.headersSent {
+		return outcomeTruncated, nil, "stream truncated: " + err.Error()
 	}
+	return outcomeUnknown, nil, "stream truncated before its first event: " + err.Error()
 }
 
 // writeHeader sends the status and headers of the first target's answer.
--- a/internal/proof/edge/caller_test.go
+++ b/internal/proof/edge/caller_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -79,3 +81,25 @@
 	}
 	is.True(r.endedRequests() > 0)
 }
+
+// TestEndlessEvent checks that an event without an end does not fill the memory of an entry.
+func TestEndlessEvent(t *testing.T) {
+	is := is.New(t)
+	var sent atomic.Int64
+	r := newRig(t, time.Minute, withWarmRoute(func(w http.ResponseWriter, q *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set("Attempt-Id", q.Header.Get("Attempt-Id"))
+		w.Header().Set("Engine-Seal", "seal")
+		part := strings.Repeat("x", 64<<10)
+		for q.Context().Err() == nil && sent.Load() < 256<<20 {
+			n, err := io.WriteString(w, part)
+			if err != nil {
+				return
+			}
+			sent.Add(int64(n))
+		}
+	}))
+	a := r.call("POST", "/fixed/", nil)
+	is.Equal(a.status, http.StatusBadGateway)
+	is.True(sent.Load() < 64<<20)
+}
