Explain a refusal by the targets that ended under equal requests

"explain ID" named no reason for a 422, since the lines that lead to it belong to other requests. It now shows the lines of all processes with the request's fingerprint. A lost run that an entry learns is logged only if equal requests are refused from then on: the loss of a group is hundreds of runs, each known by every entry. Fixture: testdata/convicted.log.

--- a/internal/operator/trace/cause.go
+++ b/internal/operator/trace/cause.go
@@ -51,6 +51,7 @@
 	case strings.HasPrefix(reason, "no target"):
 		causes = append(causes, t.explainMissingTargets()...)
 	}
+	causes = append(causes, t.explainSuspicion()...)
 	causes = append(causes, t.describeFailedAttempts()...)
 	if strings.HasPrefix(end.Get("outcome"), "status=") && end.Get("sends") == "0" && reason != "no seat" {
 		return causes
@@ -65,6 +66,7 @@
 		"broken": "Its answer was truncated, with a part delivered,",
 		"failed": "The target failed to process it", "status=503": "It was refused, and has not run,", "status=401": "It was refused because its key is not in force",
 		"status=404": "It was refused because no route matches its host and path", "status=502": "It was given up, and a target may have run it,",
+		"status=422": "It was refused, as equal requests ended their targets,",
 		"status=504": "It was given up at its time limit, and a target may have run it,", "status=413": "It was refused because its body is too long",
 	}[end.Get("outcome")]
 	if verb == "" {
@@ -129,6 +131,18 @@
 	return causes
 }
 
+// explainSuspicion names the targets that ended under equal requests.
+func (t *Trace) explainSuspicion() (causes []string) {
+	named := map[string]bool{}
+	for _, l := range t.States {
+		if target := l.Get("target"); l.Message == "target ended under a request" && !named[target] {
+			named[target] = true
+			causes = append(causes, fmt.Sprintf("Target %s ended at %s while it ran an equal request (fingerprint %s).", target, formatClock(l.Time), l.Get("fingerprint")))
+		}
+	}
+	return causes
+}
+
 // describeFailedAttempts returns a sentence for each attempt that failed.
 func (t *Trace) describeFailedAttempts() (causes []string) {
 	for _, l := range t.Lines {
--- a/internal/operator/trace/trace.go
+++ b/internal/operator/trace/trace.go
@@ -98,7 +98,10 @@
 		if l.Time.After(to.Add(maxClockSkew)) || !involved.concerns(l) {
 			continue
 		}
-		if !l.Time.Before(from.Add(-lookback)) {
+		if l.Get("fingerprint") != "" {
+			// What became of equal requests counts however old it is.
+			selected = append(selected, l)
+		} else if !l.Time.Before(from.Add(-lookback)) {
 			selected = append(selected, l)
 		} else if slices.Contains(persistentKinds, l.Message) {
 			latest[l.Instance+" "+l.Message+" "+l.Get("call")] = l
@@ -111,18 +114,19 @@
 	return selected
 }
 
-// participants are the processes that handled a request and the targets it was sent to.
+// participants are the processes that handled a request, the targets it was sent to, and its fingerprint.
 type participants struct {
-	instances, targets map[string]bool
+	instances, targets, fingerprints map[string]bool
 }
 
 // findParticipants returns the processes and targets that the lines of the request name.
 func (t *Trace) findParticipants() participants {
-	p := participants{instances: map[string]bool{}, targets: map[string]bool{}}
+	p := participants{instances: map[string]bool{}, targets: map[string]bool{}, fingerprints: map[string]bool{}}
 	for _, l := range t.Lines {
 		p.instances[l.Instance] = true
 		p.targets[l.Get("target")] = true
 		p.targets[faultyEngine(l)] = true
+		p.fingerprints[l.Get("fingerprint")] = true
 	}
 	return p
 }
@@ -130,8 +134,11 @@
 // concerns reports whether a state is relevant to the request. A line that names a target must be about one that the
 // request was sent to, and come from a process that handled it. Lines on the balance, the engines and the map switches
 // of the group always count, except a switch's events on single orders; orders count only if they failed or were
-// refused. Any other line counts if a process that handled the request logged it.
+// refused. A line on equal requests counts, whichever process logged it. Any other line counts if a process that handled the request logged it.
 func (p *participants) concerns(l Line) bool {
+	if fingerprint := l.Get("fingerprint"); fingerprint != "" {
+		return p.fingerprints[fingerprint]
+	}
 	if target := l.Get("target"); target != "" {
 		return p.instances[l.Instance] && (p.targets[target] || p.targets[l.Get("address")])
 	}
--- a/internal/operator/trace/trace_test.go
+++ b/internal/operator/trace/trace_test.go
@@ -39,6 +39,11 @@
 			[]string{"a target may have run it", "Attempt 1 at target i-aa6ab46f13 ended as unknown", "Attempt 2 at target i-a8b4b1f4e3 ended as not-run"},
 			[]string{"start"}, "has not run",
 		},
+		{
+			"convicted.log", "1b",
+			[]string{"equal requests ended their targets", "Target i-3 ended at 05:00:18.526 while it ran an equal request (fingerprint 4a78)"},
+			[]string{"target ended under a request"}, "Target i-9",
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.file, func(t *testing.T) {
--- a/internal/process/gateway/gateway_suspect.go
+++ b/internal/process/gateway/gateway_suspect.go
@@ -112,7 +112,7 @@
 			continue
 		}
 		p.metrics.lostRuns.With("event", "learned").Add(1)
-		if verdict := p.suspects.Verdict(now, r.Fingerprint); verdict != before {
+		if verdict := p.suspects.Verdict(now, r.Fingerprint); verdict != before && verdict >= suspect.Undecided {
 			p.Log.Info("run learned", "fingerprint", formatFingerprint(r.Fingerprint), "peer", n.Name, "fate", r.Fate, "verdict", verdict)
 		}
 	}
