Do not take a target's first listing for its return

An entry that had learned of a lost run before its own list showed the target's new incarnation took that target's joining for a return after a cut and dropped the run. A target counts as returned only if it is listed at a time at which it would have been removed had it ended, the rule for all other runs.

--- a/internal/process/gateway/gateway_suspect.go
+++ b/internal/process/gateway/gateway_suspect.go
@@ -121,11 +121,10 @@
 // applyChange draws the conclusions from a change of the list of targets; mu is held.
 func (p *Process) applyChange(now time.Time, c target.Change) {
 	switch {
-	case c.Event == "gone" && !c.Leaving:
-		p.logRuns(now, p.suspects.EndTarget(now, c.Hash, p.removalTime()), c.ID)
-	case c.Event == "gone", c.Event == "joined":
-		// A target that is listed again under the same incarnation was only cut off.
+	case c.Event == "gone" && c.Leaving:
 		p.logRuns(now, p.suspects.KeepTarget(c.Hash), c.ID)
+	case c.Event == "gone":
+		p.logRuns(now, p.suspects.EndTarget(now, c.Hash, p.removalTime()), c.ID)
 	}
 }
 
--- a/internal/request/suspect/suspect_runs.go
+++ b/internal/request/suspect/suspect_runs.go
@@ -167,7 +167,7 @@
 	})
 }
 
-// KeepTarget records that a target has not ended, or has ended as planned, and returns the runs that it changes.
+// KeepTarget records that a target has ended as planned, and returns the runs that it changes.
 func (t *Tracker) KeepTarget(target uint32) (changed []LostRun) {
 	return t.decide(func(r *LostRun) Fate {
 		if r.Target != target {
@@ -177,12 +177,12 @@
 	})
 }
 
-// Resolve decides the runs that are older than the time after which an ended target is no longer listed. It returns the
-// runs that it changes.
+// Resolve decides the runs that are older than the time after which an ended target is no longer listed. A target that counts as
+// ended and is listed again was only cut off. It returns the runs that it changes.
 func (t *Tracker) Resolve(now time.Time, after time.Duration, listed func(target uint32) bool) (changed []LostRun) {
 	return t.decide(func(r *LostRun) Fate {
 		switch {
-		case r.Fate > FateOpen || now.Sub(r.At) < after:
+		case now.Sub(r.At) < after:
 			return FateNone
 		case r.Fate == FateSilent || listed(r.Target):
 			return FateAlive
