Drop lost runs that lead to no verdict

After the loss of a group of engines the table of an entry held a run of each stream that was cut off for as long as no others replaced them, and each look at the table passed over them. TestResolvedRunsAreForgotten.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -37,7 +37,7 @@
 	headerTimeout = 10 * time.Second
 	headerSize    = 32 << 10
 	idleTimeout   = 2 * time.Minute
-	// pauseThreshold is the time without a sign of life from which the process counts as paused, as on a suspended machine.
+	// pauseThreshold is the time between two checks from which the process counts as paused, as on a suspended machine.
 	pauseThreshold = 500 * time.Millisecond
 	// catchUpTime is the time after a start or a pause in which the process reads what it has missed before it sends requests.
 	catchUpTime = 50 * time.Millisecond
@@ -102,7 +102,7 @@
 	stopping, rejecting atomic.Bool
 	// incarnation identifies this run of the process in datagrams.
 	incarnation uint64
-	// awakeAt is when the process last ran for sure, and resumedAt that of the latest start or end of a pause, on the Boot clock.
+	// awakeAt is when the process last checked for a pause, and resumedAt when it last started or resumed, on the Boot clock.
 	awakeAt, resumedAt atomic.Int64
 
 	// mu guards Random and the fields below. The maps with string keys are keyed by service.
@@ -114,7 +114,7 @@
 	queues     map[string]*seat.Queue
 	// reservedSeats counts the requests that have a seat but no target yet.
 	reservedSeats map[string]int
-	// suspects holds the runs that ended without an answer, by which requests that end their targets are found.
+	// suspects holds the runs that ended without an answer, to find requests that end their targets.
 	suspects *suspect.Tracker
 	// exclusive holds the fingerprints of suspected requests in progress.
 	exclusive map[uint64]bool
@@ -229,7 +229,7 @@
 	}
 }
 
-// detectPause notices that the process was paused; it is called every minSendInterval.
+// detectPause records that the process runs, and whether it was paused since the previous call, minSendInterval ago.
 func (p *Process) detectPause() {
 	now, ok := p.Boot.Now()
 	if !ok {
--- a/internal/request/suspect/suspect_news.go
+++ b/internal/request/suspect/suspect_news.go
@@ -8,8 +8,8 @@
 
 // HasNews reports whether News would return a change of the last newsTime.
 func (t *Tracker) HasNews(now time.Time) bool {
-	for _, v := range t.verdicts {
-		if slices.ContainsFunc(v.runs, func(r LostRun) bool { return r.isNews(now) }) {
+	for _, e := range t.verdicts {
+		if slices.ContainsFunc(e.runs, func(r LostRun) bool { return r.isNews(now) }) {
 			return true
 		}
 	}
@@ -27,8 +27,8 @@
 		return nil
 	}
 	var news []LostRun
-	for _, v := range t.verdicts {
-		for _, r := range v.runs {
+	for _, e := range t.verdicts {
+		for _, r := range e.runs {
 			if r.isNews(now) {
 				news = append(news, r)
 			}
@@ -79,8 +79,8 @@
 
 // counted returns the fingerprints with a lost run that counts.
 func (t *Tracker) counted(now time.Time) (fingerprints []uint64) {
-	for f, v := range t.verdicts {
-		if slices.ContainsFunc(v.runs, func(r LostRun) bool { return r.counts(now) }) {
+	for f, e := range t.verdicts {
+		if slices.ContainsFunc(e.runs, func(r LostRun) bool { return r.counts(now) }) {
 			fingerprints = append(fingerprints, f)
 		}
 	}
--- a/internal/request/suspect/suspect_runs.go
+++ b/internal/request/suspect/suspect_runs.go
@@ -1,13 +1,14 @@
 package suspect
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
 
 // MaxEnded is the largest number of targets that one request ends within VerdictLifetime where its runs are not isolated,
-// if its caller retries it only after an answer and no entry is cut off. One more run than with isolation tells it from
-// a request that ran beside it.
+// if its caller retries it only after an answer and no entry is cut off. It is one more than MaxCrashes, because a request that
+// ran beside a crashing one may do so again.
 const MaxEnded = 3
 
 const (
@@ -122,34 +123,35 @@
 
 // raise adds a lost run, or raises the fate of one that is known.
 func (t *Tracker) raise(now time.Time, r LostRun) bool {
-	v, ok := t.verdicts[r.Fingerprint]
+	e, ok := t.verdicts[r.Fingerprint]
 	if !ok && r.Fate == FateAlive {
 		return false
 	}
-	i := slices.IndexFunc(v.runs, func(known LostRun) bool { return known.Target == r.Target })
+	i := slices.IndexFunc(e.runs, func(known LostRun) bool { return known.Target == r.Target })
 	switch {
-	case i >= 0 && v.runs[i].Fate >= r.Fate:
+	case i >= 0 && e.runs[i].Fate >= r.Fate:
 		return false
 	case i >= 0:
-		v.runs[i].Fate, v.runs[i].changedAt = r.Fate, r.changedAt
-	case len(v.runs) < maxLostRuns:
-		v.runs = append(v.runs, r)
+		e.runs[i].Fate, e.runs[i].changedAt = r.Fate, r.changedAt
+	case len(e.runs) < maxLostRuns:
+		e.runs = append(e.runs, r)
 	default:
-		if i = slices.IndexFunc(v.runs, func(known LostRun) bool { return !known.counts(now) }); i < 0 {
+		if i = slices.IndexFunc(e.runs, func(known LostRun) bool { return !known.counts(now) }); i < 0 {
 			return false
 		}
-		v.runs[i] = r
+		e.runs[i] = r
 	}
-	v.updatedAt = now
-	t.verdicts[r.Fingerprint] = v
+	e.updatedAt = now
+	t.verdicts[r.Fingerprint] = e
 	t.trim(now)
 	return true
 }
 
-// Complete records that a request has completed: its runs before were not lost by its own fault.
+// Complete records that a request has completed, so that it was not the reason for the runs that were lost before.
 func (t *Tracker) Complete(now time.Time, fingerprint uint64) {
-	for i := range t.verdicts[fingerprint].runs {
-		r := &t.verdicts[fingerprint].runs[i]
+	runs := t.verdicts[fingerprint].runs
+	for i := range runs {
+		r := &runs[i]
 		if r.Fate != FateAlive {
 			r.Fate, r.changedAt = FateAlive, now
 		}
@@ -180,9 +182,10 @@
 // Resolve decides the runs that are older than the time after which an ended target is no longer listed. A target that counts as
 // ended and is listed again was only cut off. It returns the runs that it changes.
 func (t *Tracker) Resolve(now time.Time, after time.Duration, listed func(target uint32) bool) (changed []LostRun) {
+	t.forget(now)
 	return t.decide(func(r *LostRun) Fate {
 		switch {
-		case now.Sub(r.At) < after:
+		case r.Fate == FateAlive || now.Sub(r.At) < after:
 			return FateNone
 		case r.Fate == FateSilent || listed(r.Target):
 			return FateAlive
@@ -191,12 +194,19 @@
 	})
 }
 
+// forget drops the evidence that has not changed for undecidedLifetime and leads to no verdict.
+func (t *Tracker) forget(now time.Time) {
+	maps.DeleteFunc(t.verdicts, func(_ uint64, e evidence) bool {
+		return now.Sub(e.updatedAt) >= undecidedLifetime && e.current(now) == Unknown
+	})
+}
+
 // decide raises the fate of each run to what the function returns. The changes are not news, since every process makes
 // them from the same list.
 func (t *Tracker) decide(fate func(r *LostRun) Fate) (changed []LostRun) {
-	for _, v := range t.verdicts {
-		for i := range v.runs {
-			r := &v.runs[i]
+	for _, e := range t.verdicts {
+		for i := range e.runs {
+			r := &e.runs[i]
 			if f := fate(r); f > r.Fate {
 				r.Fate, r.changedAt = f, time.Time{}
 				changed = append(changed, *r)
--- a/internal/request/suspect/suspect_runs_test.go
+++ b/internal/request/suspect/suspect_runs_test.go
@@ -77,6 +77,20 @@
 	is.Equal(tracker.Verdict(now.Add(VerdictLifetime), testFingerprint), Unknown)
 }
 
+// TestResolvedRunsAreForgotten checks that runs that lead to no verdict do not stay in the table.
+func TestResolvedRunsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	tracker, now := NewTracker(), time.Unix(0, 0)
+	for f := range uint64(100) {
+		tracker.Lose(now, LostRun{Fingerprint: f, Target: 1, Fate: FateOpen, At: now})
+	}
+	listed := func(uint32) bool { return true }
+	tracker.Resolve(now.Add(testRemovalTime), testRemovalTime, listed)
+	is.Equal(len(tracker.verdicts), 100)
+	tracker.Resolve(now.Add(undecidedLifetime), testRemovalTime, listed)
+	is.Equal(len(tracker.verdicts), 0)
+}
+
 // TestLearnInAnyOrder checks that processes agree whatever the order and number of the reports.
 func TestLearnInAnyOrder(t *testing.T) {
 	is := is.New(t)
