Abort the connection of a caller that left on the users' platform

A caller that closed only its sending side got "200 OK" without a body when its request ended, since a handler that returns without an answer ends it as an empty success. The product's entries abort the connection; the entries on the users' platform returned. TestHalfClosedCallerGetsNoSuccess failed before:

half_test.go:24: not true: response.StatusCode >= 500

Package request/caller now holds the limits for callers that both paths share.

--- a/internal/process/entryd/entryd_callers.go
+++ b/internal/process/entryd/entryd_callers.go
@@ -16,8 +16,8 @@
 	httptransport "github.com/go-kit/kit/transport/http"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/core/entry"
-	"github.com/dragonflydeal/dragonflydeal/internal/request/answer"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/caller"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/key"
 )
 
@@ -52,7 +52,7 @@
 	}
 	server := httptransport.NewServer(serve, p.decodeArrival, p.writeReply, httptransport.ServerErrorEncoder(p.encodeError))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		limitBody(w, r, p.Settings.Body, p.Now())
+		caller.LimitBody(w, r, p.Settings.Body, p.Now())
 		server.ServeHTTP(w, r)
 	})
 }
@@ -72,8 +72,8 @@
 // readArrival decodes and checks a caller's request.
 func (p *Process) readArrival(_ context.Context, r *http.Request) (any, error) {
 	a := &entry.Arrival{Workspace: r.Header.Get(headerWorkspace), Path: r.URL.Path, Key: r.Header.Get(headerKey)}
-	if !answer.ShowsTruncation(r) {
-		return nil, &requestError{status: http.StatusHTTPVersionNotSupported, reason: answer.ProtocolReason}
+	if !caller.ShowsTruncation(r) {
+		return nil, &requestError{status: http.StatusHTTPVersionNotSupported, reason: caller.ProtocolReason}
 	}
 	if r.Method != http.MethodPost {
 		return nil, &requestError{status: http.StatusMethodNotAllowed, reason: "use POST"}
--- a/internal/process/entryd/entryd_writer.go
+++ b/internal/process/entryd/entryd_writer.go
@@ -7,8 +7,8 @@
 	"unicode/utf8"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/core/entry"
-	"github.com/dragonflydeal/dragonflydeal/internal/request/answer"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/caller"
 )
 
 // writer writes one reply as an HTTP response.
@@ -36,7 +36,7 @@
 // writePart writes a part and reports whether it was the last one.
 func (o *writer) writePart(v replyPart) (done bool) {
 	// If the caller reads nothing until the deadline, the connection is aborted and the answer truncated.
-	_ = o.control.SetWriteDeadline(time.Now().Add(answer.WriteTimeout))
+	_ = o.control.SetWriteDeadline(time.Now().Add(caller.WriteTimeout))
 	if v.forward != nil {
 		return o.forward(v.forward)
 	}
--- a/internal/process/gateway/gateway_attempt.go
+++ b/internal/process/gateway/gateway_attempt.go
@@ -102,9 +102,12 @@
 		if result != outcomeNotRun {
 			v.runs++
 		}
-		if result == outcomeServed || result == outcomeCallerLeft {
+		switch result {
+		case outcomeServed:
 			v.finish(result.String(), reason)
 			return
+		case outcomeCallerLeft:
+			v.abandon(result.String(), reason)
 		}
 	}
 	v.fail(failure, reason)
@@ -135,10 +138,9 @@
 	switch {
 	case v.headersSent:
 		// The headers are already sent, so only an aborted connection can show that the answer is incomplete.
-		v.finish("broken", reason)
-		panic(http.ErrAbortHandler)
+		v.abandon("broken", reason)
 	case v.caller.Context().Err() != nil:
-		v.finish("left", reason)
+		v.abandon("left", reason)
 	case failure != nil:
 		v.writeAnswer(failure)
 		v.finish("failed", reason)
--- a/internal/process/gateway/gateway_run.go
+++ b/internal/process/gateway/gateway_run.go
@@ -121,8 +121,7 @@
 		case admitted = <-w.Done:
 		case <-v.caller.Context().Done():
 			v.cancelWait(queue, w)
-			v.finish("abandoned", "caller left while it waited for a seat")
-			return false
+			v.abandon("abandoned", "caller left while it waited for a seat")
 		}
 	}
 	if !admitted {
--- a/internal/process/gateway/gateway_serve.go
+++ b/internal/process/gateway/gateway_serve.go
@@ -8,7 +8,7 @@
 
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/call"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/site"
-	"github.com/dragonflydeal/dragonflydeal/internal/request/answer"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/caller"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/suspect"
 )
 
@@ -65,8 +65,8 @@
 		limit = c.Body
 	}
 	v := &request{process: p, writer: w, caller: r, began: began, tried: map[string]bool{}}
-	if !answer.ShowsTruncation(r) {
-		v.refuse(http.StatusHTTPVersionNotSupported, answer.ProtocolReason, 0)
+	if !caller.ShowsTruncation(r) {
+		v.refuse(http.StatusHTTPVersionNotSupported, caller.ProtocolReason, 0)
 		return
 	}
 	defer v.clearWriteLimit()
@@ -77,8 +77,7 @@
 		v.refuse(http.StatusRequestEntityTooLarge, "body too long", 0)
 		return
 	case err != nil && r.Context().Err() != nil:
-		v.finish("abandoned", "caller left before its request was read")
-		return
+		v.abandon("abandoned", "caller left before its request was read")
 	case err != nil:
 		v.refuse(http.StatusBadRequest, err.Error(), 0)
 		return
@@ -166,7 +165,7 @@
 
 // limitWrite aborts the connection if the caller reads nothing of the next part of its answer in time.
 func (v *request) limitWrite() {
-	v.setWriteDeadline(v.process.Now().Add(answer.WriteTimeout))
+	v.setWriteDeadline(v.process.Now().Add(caller.WriteTimeout))
 }
 
 // clearWriteLimit undoes limitWrite for the next request on the connection.
@@ -194,12 +193,17 @@
 	if retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
-	if v.caller.Context().Err() == nil {
-		http.Error(v.writer, reason, status)
-	}
+	http.Error(v.writer, reason, status)
 	v.finish("status="+strconv.Itoa(status), reason)
 }
 
+// abandon ends a request whose caller left, by aborting its connection. A caller that closed only its sending side would take
+// a return without an answer for an empty success.
+func (v *request) abandon(outcome, reason string) {
+	v.finish(outcome, reason)
+	panic(http.ErrAbortHandler)
+}
+
 // formatFingerprint returns a fingerprint as logs have it.
 func formatFingerprint(fingerprint uint64) string {
 	return strconv.FormatUint(fingerprint, 16)
--- a/internal/proof/edge/caller_test.go
+++ b/internal/proof/edge/caller_test.go
@@ -14,19 +14,19 @@
 
 	"github.com/matryer/is"
 
-	caller "github.com/dragonflydeal/dragonflydeal/internal/request/answer"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/caller"
 )
 
-// sendRaw sends a request for a stream over a new connection and returns the connection.
-func (r *rig) sendRaw(version string) net.Conn {
+// sendRaw sends the headers of a request for a stream over a new connection and returns the connection.
+func (r *rig) sendRaw(version string, length int) net.Conn {
 	r.t.Helper()
 	conn, err := net.Dial("tcp4", strings.TrimPrefix(r.front, "http://"))
 	if err != nil {
 		r.t.Fatal(err)
 	}
 	r.t.Cleanup(func() { conn.Close() })
-	fmt.Fprintf(conn, "POST /stream/ %s\r\nHost: desk.example\r\nAttempt-Id: raw\r\nTimeout-Ms: 1500\r\nAuthorization: Bearer %s\r\nContent-Length: 0\r\n\r\n",
-		version, testKey)
+	fmt.Fprintf(conn, "POST /stream/ %s\r\nHost: desk.example\r\nAttempt-Id: raw\r\nTimeout-Ms: 1500\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n",
+		version, testKey, length)
 	return conn
 }
 
@@ -35,13 +35,28 @@
 	is := is.New(t)
 	r := newRig(t, time.Minute, withWarmRoute(func(w http.ResponseWriter, q *http.Request) { writeEvents(w, q, 1, 3, true) }))
 	before := r.targets[0].count()
-	response, err := http.ReadResponse(bufio.NewReader(r.sendRaw("HTTP/1.0")), nil)
+	response, err := http.ReadResponse(bufio.NewReader(r.sendRaw("HTTP/1.0", 0)), nil)
 	is.NoErr(err)
 	defer response.Body.Close()
 	is.Equal(response.StatusCode, http.StatusHTTPVersionNotSupported)
 	is.Equal(r.targets[0].count(), before)
 }
 
+// TestHalfClosedCallerGetsNoSuccess checks that a caller which closes its sending side early does not take the end of its connection
+// for an answer.
+func TestHalfClosedCallerGetsNoSuccess(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, time.Minute, withWarmRoute(func(w http.ResponseWriter, q *http.Request) { <-q.Context().Done() }))
+	conn := r.sendRaw("HTTP/1.1", 0)
+	time.Sleep(100 * time.Millisecond)
+	is.NoErr(conn.(*net.TCPConn).CloseWrite())
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err == nil {
+		response.Body.Close()
+		is.True(response.StatusCode >= http.StatusInternalServerError)
+	}
+}
+
 // endedRequests returns the number of ended requests that had not got a full answer.
 func (r *rig) endedRequests() (n int) {
 	response, err := http.Get("http://" + r.settings.Metrics.String() + "/metrics")
@@ -74,7 +89,7 @@
 			fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, text)
 		}
 	}))
-	r.sendRaw("HTTP/1.1")
+	r.sendRaw("HTTP/1.1", 0)
 	began := time.Now()
 	for r.endedRequests() == 0 && time.Since(began) < caller.WriteTimeout+5*time.Second {
 		time.Sleep(100 * time.Millisecond)
--- a/internal/request/answer/answer_caller.go
+++ b/internal/request/caller/caller.go
@@ -1,4 +1,5 @@
-package answer
+// Package caller limits what an entry accepts from a caller and how long it waits for it.
+package caller
 
 import (
 	"net/http"
--- a/internal/process/entryd/entryd_body.go
+++ b/internal/request/caller/caller_body.go
@@ -1,4 +1,4 @@
-package entryd
+package caller
 
 import (
 	"io"
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// bodyTimeout is the time within which a caller must send the body of a request.
-const bodyTimeout = 15 * time.Second
+// BodyTimeout is the time within which a caller must send the body of a request.
+const BodyTimeout = 15 * time.Second
 
 // timedBody clears the read deadline of the connection once the body was read, so that it does not truncate long answers.
 type timedBody struct {
@@ -15,10 +15,10 @@
 	control *http.ResponseController
 }
 
-// limitBody limits the size of a request's body and the time to send it.
-func limitBody(w http.ResponseWriter, r *http.Request, size int64, now time.Time) {
+// LimitBody limits the size of a request's body and the time to send it.
+func LimitBody(w http.ResponseWriter, r *http.Request, size int64, now time.Time) {
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(now.Add(bodyTimeout))
+	_ = control.SetReadDeadline(now.Add(BodyTimeout))
 	r.Body = &timedBody{ReadCloser: http.MaxBytesReader(w, r.Body, size), control: control}
 }
 
