Limit the time for a request's body on the users' platform

A caller that announced a body and did not send it kept a connection and a goroutine of an entry for ever. The product's entries wait 15 s; the entries on the users' platform had no limit. Both now share one, and answer 408 or 413: the request has not run. TestBodyThatNeverArrives failed before with a time-out of the test's own connection after 20 s.

--- a/internal/process/gateway/gateway_serve.go
+++ b/internal/process/gateway/gateway_serve.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -70,12 +71,16 @@
 		return
 	}
 	defer v.clearWriteLimit()
+	caller.LimitBody(w, r, limit, began)
 	c, err := p.Codec.DecodeCall(r, limit)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		v.refuse(http.StatusRequestEntityTooLarge, "body too long", 0)
 		return
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		v.refuse(http.StatusRequestTimeout, "body not sent in time", 0)
+		return
 	case err != nil && r.Context().Err() != nil:
 		v.abandon("abandoned", "caller left before its request was read")
 	case err != nil:
--- a/internal/proof/edge/caller_test.go
+++ b/internal/proof/edge/caller_test.go
@@ -42,6 +42,19 @@
 	is.Equal(r.targets[0].count(), before)
 }
 
+// TestBodyThatNeverArrives checks that a caller which does not send its body does not keep its connection for ever.
+func TestBodyThatNeverArrives(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r := newRig(t, time.Minute, serveDone)
+	conn := r.sendRaw("HTTP/1.1", 10)
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(caller.BodyTimeout + 5*time.Second)))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	defer response.Body.Close()
+	is.Equal(response.StatusCode, http.StatusRequestTimeout)
+}
+
 // TestHalfClosedCallerGetsNoSuccess checks that a caller which closes its sending side early does not take the end of its connection
 // for an answer.
 func TestHalfClosedCallerGetsNoSuccess(t *testing.T) {
