Read a target's load under the lock for the log line of a failed attempt

The line "attempt failed" read the number of requests in progress at a target without the lock that datagrams of other entries change it under. The whole package passes with -race afterwards (179 s).

--- a/internal/process/gateway/gateway_attempt.go
+++ b/internal/process/gateway/gateway_attempt.go
@@ -171,11 +171,11 @@
 	began := p.Now()
 	v.fate = suspect.FateNone
 	defer func() {
-		v.releaseTarget(m, result)
+		running := v.releaseTarget(m, result)
 		p.metrics.attempts.With("outcome", result.String()).Add(1)
 		if result != outcomeServed {
 			p.Log.Info("attempt failed", "id", v.ID, "fingerprint", formatFingerprint(v.fingerprint), "target", m.ID, "address", m.Address, "attempt", v.attempts,
-				"outcome", result, "reason", reason, "took", p.Now().Sub(began), "running", m.Running())
+				"outcome", result, "reason", reason, "took", p.Now().Sub(began), "running", running)
 		}
 	}()
 	ctx, cancel := context.WithDeadlineCause(v.caller.Context(), v.deadline, context.DeadlineExceeded)
--- a/internal/process/gateway/gateway_run.go
+++ b/internal/process/gateway/gateway_run.go
@@ -188,8 +188,9 @@
 	return m
 }
 
-// releaseTarget ends the count of the request at a target, records its result, and admits waiting requests.
-func (v *request) releaseTarget(m *target.Member, result outcome) {
+// releaseTarget ends the count of the request at a target, records its result, and admits waiting requests. It returns the
+// number of requests in progress there.
+func (v *request) releaseTarget(m *target.Member, result outcome) (running int) {
 	p := v.process
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -200,6 +201,7 @@
 	if queue := p.queues[v.service.Name]; queue != nil && queue.Waiting() > 0 {
 		p.admitWaiting(v.service.Name, queue)
 	}
+	return m.Running()
 }
 
 // takeRetry takes a retry from the service's budget and reports whether one was left.
