--- a/internal/edge/events/events.go
+++ b/internal/edge/events/events.go
@@ -34,12 +34,14 @@
 
 // Add appends bytes and returns the complete events that were not returned before.
 func (s *Splitter) Add(data []byte) (complete []byte) {
+	// The bytes before were searched already; only their end may begin the end of an event.
+	searched := max(0, len(s.partial)-len(eventEnd)+1)
 	s.partial = append(s.partial, data...)
-	end := bytes.LastIndex(s.partial, eventEnd)
+	end := bytes.LastIndex(s.partial[searched:], eventEnd)
 	if end < 0 {
 		return nil
 	}
-	end += len(eventEnd)
+	end += searched + len(eventEnd)
 	ready := s.partial[:end]
 	s.partial = append([]byte(nil), s.partial[end:]...)
 	for len(ready) > 0 {
