--- a/internal/operator/trace/trace.go
+++ b/internal/operator/trace/trace.go
@@ -134,7 +134,8 @@
 // concerns reports whether a state is relevant to the request. A line that names a target must be about one that the
 // request was sent to, and come from a process that handled it. Lines on the balance, the engines and the map switches
 // of the group always count, except a switch's events on single orders; orders count only if they failed or were
-// refused. A line on equal requests counts, whichever process logged it. Any other line counts if a process that handled the request logged it.
+// refused. A line on equal requests counts, whichever process logged it. Any other line counts if a process that handled
+// the request logged it.
 func (p *participants) concerns(l Line) bool {
 	if fingerprint := l.Get("fingerprint"); fingerprint != "" {
 		return p.fingerprints[fingerprint]
--- a/internal/process/gateway/gateway_peers.go
+++ b/internal/process/gateway/gateway_peers.go
@@ -105,7 +105,7 @@
 	p.registry.SetOtherLoads(p.mesh.Loads())
 }
 
-// runsFor returns the lost runs for a peer: all that fit a datagram if it is new; mu is held.
+// runsFor returns the lost runs to send to a peer, more of them if it is new; mu is held.
 func (p *Process) runsFor(now time.Time, isNew bool) []suspect.LostRun {
 	if isNew {
 		return p.suspects.Runs(now)
--- a/internal/process/gateway/gateway_suspect.go
+++ b/internal/process/gateway/gateway_suspect.go
@@ -11,8 +11,7 @@
 )
 
 const (
-	// recordGrace is added to three heartbeats of a target for the time after which entries have noticed that its record is
-	// gone.
+	// recordGrace is the time from the removal of a target's record until every entry has read it.
 	recordGrace = 1500 * time.Millisecond
 	// defaultHeartbeat is used if the settings have none.
 	defaultHeartbeat = 1200 * time.Millisecond
@@ -28,7 +27,7 @@
 	retryAfter time.Duration
 }
 
-// removalTime is the time within which the end of a target shows in the list of targets.
+// removalTime returns the time within which a target that has ended is removed from the list.
 func (p *Process) removalTime() time.Duration {
 	heartbeat := p.settings.Load().Heartbeat
 	if heartbeat <= 0 {
@@ -69,7 +68,7 @@
 	delete(p.exclusive, v.fingerprint)
 }
 
-// recordRun records how a run at a target ended, if it tells whether the request ends its targets; mu is held.
+// recordRun records that a run at a target was lost, or that the request has completed; mu is held.
 func (v *request) recordRun(now time.Time, m *target.Member, result outcome) {
 	p := v.process
 	if result == outcomeServed || result == outcomeFailed {
@@ -118,7 +117,7 @@
 	}
 }
 
-// applyChange draws the conclusions from a change of the list of targets; mu is held.
+// applyChange decides the lost runs of a target that is gone; mu is held.
 func (p *Process) applyChange(now time.Time, c target.Change) {
 	switch {
 	case c.Event == "gone" && c.Leaving:
@@ -128,8 +127,8 @@
 	}
 }
 
-// resolveRuns decides the lost runs whose targets would no longer be listed at readAt, had they ended. After an outage of the store
-// the records of ended targets may still be there; mu is held.
+// resolveRuns decides the lost runs whose targets would no longer be listed at readAt, had they ended. The records of
+// ended targets may outlast an outage of the store; mu is held.
 func (p *Process) resolveRuns(now, readAt time.Time) {
 	if readAt.Sub(p.registry.OutageEndedAt()) < p.removalTime() {
 		return
--- a/internal/proof/edge/caller_test.go
+++ b/internal/proof/edge/caller_test.go
@@ -55,8 +55,7 @@
 	is.Equal(response.StatusCode, http.StatusRequestTimeout)
 }
 
-// TestHalfClosedCallerGetsNoSuccess checks that a caller which closes its sending side early does not take the end of its connection
-// for an answer.
+// TestHalfClosedCallerGetsNoSuccess checks that a caller which closes its sending side early gets no empty success.
 func TestHalfClosedCallerGetsNoSuccess(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, time.Minute, withWarmRoute(func(w http.ResponseWriter, q *http.Request) { <-q.Context().Done() }))
@@ -70,7 +69,7 @@
 	}
 }
 
-// endedRequests returns the number of ended requests that had not got a full answer.
+// endedRequests returns the number of requests that ended without a complete answer.
 func (r *rig) endedRequests() (n int) {
 	response, err := http.Get("http://" + r.settings.Metrics.String() + "/metrics")
 	if err != nil {
--- a/internal/proof/edge/crash_test.go
+++ b/internal/proof/edge/crash_test.go
@@ -120,8 +120,8 @@
 	})
 }
 
-// resend sends poisonBody through all entries in turn, with another request after each, and returns the numbers of
-// answers of the other requests that are not a success.
+// resend sends poisonBody through all entries in turn, with another request after each, and returns how many of the others
+// were not served.
 func (c *crashes) resend(path string, times int) (refused int) {
 	for i := range times {
 		e := c.entries[i%len(c.entries)]
@@ -261,7 +261,7 @@
 	}
 }
 
-// TestStartingEntryLearnsOfCrashingRequest starts an entry, and restarts the seed, after a request was found to end its targets.
+// TestStartingEntryLearnsOfCrashingRequest starts an entry and restarts the seed after the verdict.
 func TestStartingEntryLearnsOfCrashingRequest(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
@@ -283,8 +283,7 @@
 	is.Equal(c.endedTargets(), ended)
 }
 
-// TestOtherRequestsAreServedAfterCrashes ends targets under requests that are not the reason, by a crashing request or by a
-// kill: none of them may be refused for good, and all must be served when they are sent again.
+// TestOtherRequestsAreServedAfterCrashes checks that requests which run at a target when it ends are served later.
 func TestOtherRequestsAreServedAfterCrashes(t *testing.T) {
 	const beside = 12
 	tests := []struct {
@@ -336,8 +335,7 @@
 	}
 }
 
-// TestOtherRequestsAreServedAfterResets resets the connections of all requests for a while, as when a rank takes its group along or
-// the network fails, though no target ends.
+// TestOtherRequestsAreServedAfterResets checks that requests whose targets live on after a reset are served later.
 func TestOtherRequestsAreServedAfterResets(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
--- a/internal/request/suspect/suspect_runs.go
+++ b/internal/request/suspect/suspect_runs.go
@@ -7,8 +7,8 @@
 )
 
 // MaxEnded is the largest number of targets that one request ends within VerdictLifetime where its runs are not isolated,
-// if its caller retries it only after an answer and no entry is cut off. It is one more than MaxCrashes, because a request that
-// ran beside a crashing one may do so again.
+// if its caller retries it only after an answer and no entry is cut off. It is one more than MaxCrashes, because a
+// request that ran beside a crashing one may do so again.
 const MaxEnded = 3
 
 const (
@@ -33,8 +33,8 @@
 const (
 	// FateNone means that the run is not lost.
 	FateNone Fate = iota
-	// FateSilent means that the run was given up, as its caller left or its time was over. Only an end of the target soon
-	// after makes it a reason to suspect the request.
+	// FateSilent means that the run was given up: its caller left, or its time was over. It counts only if the target ends
+	// soon after.
 	FateSilent
 	// FateOpen means that the connection to the target was lost and the target may have ended.
 	FateOpen
@@ -179,8 +179,8 @@
 	})
 }
 
-// Resolve decides the runs that are older than the time after which an ended target is no longer listed. A target that counts as
-// ended and is listed again was only cut off. It returns the runs that it changes.
+// Resolve decides the runs that are older than the time after which an ended target is no longer listed, and returns
+// those that it changes. A target that counts as ended and is listed again was only cut off.
 func (t *Tracker) Resolve(now time.Time, after time.Duration, listed func(target uint32) bool) (changed []LostRun) {
 	t.forget(now)
 	return t.decide(func(r *LostRun) Fate {
