Decode and log the limits that targets name

The adapter decodes it; an entry keeps the latest limit of each incarnation and logs each change. A value that is no number, negative, infinite or contradicts itself is logged with its reason and ignored. Nothing decides by it yet.

--- a/internal/edge/call/call.go
+++ b/internal/edge/call/call.go
@@ -54,10 +54,27 @@
 	Matches, Sealed bool
 	// FaultTarget is the target that caused a refusal, or empty.
 	FaultTarget string
+	// Statement is what the target says about itself.
+	Statement Statement
 	// Header is forwarded.
 	Header http.Header
 }
 
+// Statement is what a target says about itself in an answer.
+type Statement struct {
+	// Limit is the number of requests a second that the target takes from all entries together. It is at least zero, and valid
+	// only if Limited is set.
+	Limit   float64
+	Limited bool
+	// Fault is why the statement cannot be used, or nil. Nothing else is valid then.
+	Fault error
+}
+
+// FromTarget reports whether the answer was made by the target for the call, so that its statement counts.
+func (a *Answer) FromTarget() bool {
+	return a.Matches && !a.Misdirected && (a.Sealed || a.NotRun)
+}
+
 // Deliverable reports whether the answer may be delivered to the caller as it is. Only errors need no seal.
 func (a *Answer) Deliverable() bool {
 	if !a.Matches || a.NotRun || a.Misdirected {
--- a/internal/edge/target/target.go
+++ b/internal/edge/target/target.go
@@ -26,6 +26,8 @@
 	updatedAt time.Time
 	// blockedUntil is the time until which the target is chosen only if there is no other.
 	blockedUntil time.Time
+	// limit is the latest known limit.
+	limit Limit
 }
 
 // Running returns the known number of requests in progress at the target.
--- a/internal/process/gateway/gateway_attempt.go
+++ b/internal/process/gateway/gateway_attempt.go
@@ -199,6 +199,7 @@
 	defer response.Body.Close()
 	a := p.Codec.DecodeAnswer(v.Call, response)
 	p.metrics.timeToHeaders.Observe(p.Now().Sub(began).Seconds())
+	v.hearStatement(m, a, began)
 	return v.handleAnswer(ctx, m, s, a, response)
 }
 
