Divide the limit that a target names among all entries

What callers saw: nothing yet; an engine in need got three requests a second where it had named a limit of one, which may end it.

Cause: the entries passed Server-Limit on unread, and each chose targets by load, distance and failures alone. Class of fault: what an engine says of itself in its answers is not read.

Change: a target with a limit gets a request only with a permit. The owner of its rate, by the rendezvous hashing that already picks the owner of a workspace's rate, issues permits from one token bucket, so that the sum over the entries is the limit, however many there are. Entries tell each other the limits in their datagrams. Choose and ChooseFixed share one check, so retries, resumed streams and suspected requests do not go round it. If all targets of a service are at their limits, the caller gets 503 at once with a Retry-After that fits the rate; urgent requests get permits first.

Ruled out: shares as for workspaces (nine entries may save up one request each), an even part for each entry (the same, and of no use below one request a second).

--- a/internal/edge/target/choose.go
+++ b/internal/edge/target/choose.go
@@ -28,6 +28,21 @@
 	Centre string
 	// Tried holds the IDs of the targets that were already tried for the request.
 	Tried map[string]bool
+	// Priority is that of the request; zero is the most urgent.
+	Priority int
+	// MayAsk is set if the request may wait for a permit of a target that has a limit.
+	MayAsk bool
+}
+
+// allows reports whether a target may be chosen. One with a limit needs a permit, or must be worth asking for one.
+func (c *Choice) allows(now time.Time, m *Member) bool {
+	switch {
+	case m.Leaving || c.Tried[m.ID]:
+		return false
+	case !m.limit.Limited || m.HasPermit(now):
+		return true
+	}
+	return c.MayAsk && m.DeniedUntil(now, c.Priority).IsZero()
 }
 
 // Choose returns the target with the lowest cost for a request, or nil if there is none. The random value, in [0,1),
@@ -38,7 +53,7 @@
 	offset := int(randomValue * float64(len(list)))
 	for i := range list {
 		m := list[(i+offset)%len(list)]
-		if m.Leaving || c.Tried[m.ID] {
+		if !c.allows(now, m) {
 			continue
 		}
 		if cost := m.cost(now, c.Centre); best == nil || cost < bestCost {
@@ -54,7 +69,7 @@
 	key := strconv.FormatUint(fingerprint, 16)
 	bestAvoided, bestScore := false, uint64(0)
 	for _, m := range r.services[c.Service] {
-		if m.Leaving || c.Tried[m.ID] {
+		if !c.allows(now, m) {
 			continue
 		}
 		avoided, score := avoid(m.Hash) || now.Before(m.blockedUntil), rendezvous.Score(key, m.ID)
--- a/internal/edge/target/limit.go
+++ b/internal/edge/target/limit.go
@@ -1,6 +1,19 @@
 package target
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/request/limit"
+)
+
+const (
+	// liftedNewsTime is the time for which entries tell each other that a target no longer has a limit.
+	liftedNewsTime = 10 * time.Second
+	// maxLimits is the largest number of limits that are sent at once.
+	maxLimits = 64
+)
 
 // Limit is what a target said last about the requests a second that it takes from all entries together.
 type Limit struct {
@@ -17,12 +30,49 @@
 	return m.limit
 }
 
-// SetLimit records what the target said, unless something later is known. It reports whether the limit has changed.
+// SetLimit records what the target said, unless something later is known. It reports whether the limit has changed; permits
+// and denials of the limit before are dropped then.
 func (m *Member) SetLimit(l Limit) (changed bool) {
 	before := m.limit
-	if !l.At.After(before.At) {
+	if !l.At.After(before.At) || !l.Limited && !before.Limited {
 		return false
 	}
 	m.limit = l
-	return l.Limited != before.Limited || l.Limited && l.Rate != before.Rate
+	if l.Limited == before.Limited && l.Rate == before.Rate {
+		return false
+	}
+	m.Holder = limit.Holder{}
+	return true
+}
+
+// Limits returns the members whose limits the other entries should know, the latest first.
+func (r *Registry) Limits(now time.Time) (members []*Member) {
+	for _, m := range r.members {
+		if m.limit.Limited || !m.limit.At.IsZero() && now.Sub(m.limit.At) < liftedNewsTime {
+			members = append(members, m)
+		}
+	}
+	slices.SortFunc(members, func(x, y *Member) int {
+		return cmp.Or(y.limit.At.Compare(x.limit.At), cmp.Compare(x.Hash, y.Hash))
+	})
+	return members[:min(len(members), maxLimits)]
+}
+
+// NextPermit returns the earliest time at which a request may get a permit again for one of the targets that a choice leaves
+// out for their limits, and the sum of these limits in requests a second. The time is zero if there is no such target.
+func (r *Registry) NextPermit(now time.Time, c Choice) (at time.Time, rate float64) {
+	for _, m := range r.services[c.Service] {
+		if m.Leaving || !m.limit.Limited {
+			continue
+		}
+		rate += m.limit.Rate
+		until := m.DeniedUntil(now, c.Priority)
+		if until.IsZero() {
+			until = now
+		}
+		if at.IsZero() || until.Before(at) {
+			at = until
+		}
+	}
+	return at, rate
 }
--- a/internal/edge/target/target.go
+++ b/internal/edge/target/target.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/site"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/limit"
 )
 
 // outageGrace is the time after an outage of the store in which missing targets are kept (PROTOCOL: about two seconds).
@@ -26,8 +27,9 @@
 	updatedAt time.Time
 	// blockedUntil is the time until which the target is chosen only if there is no other.
 	blockedUntil time.Time
-	// limit is the latest known limit.
+	// limit is the latest known limit. While the target has one, each request needs one of the permits.
 	limit Limit
+	limit.Holder
 }
 
 // Running returns the known number of requests in progress at the target.
@@ -47,8 +49,9 @@
 type Registry struct {
 	// members holds the latest incarnation of each ID.
 	members map[string]*Member
-	// services holds the members of each service.
+	// services holds the members of each service, and hashes all members by Hash.
 	services map[string][]*Member
+	hashes   map[uint32]*Member
 	// storeFailing is set if the latest read of the store failed.
 	storeFailing bool
 	// outageEndedAt is the end of the latest outage of the store.
@@ -59,7 +62,7 @@
 
 // NewRegistry returns an empty Registry.
 func NewRegistry() *Registry {
-	return &Registry{members: map[string]*Member{}, services: map[string][]*Member{}, otherLoads: map[uint32]int{}}
+	return &Registry{members: map[string]*Member{}, services: map[string][]*Member{}, hashes: map[uint32]*Member{}, otherLoads: map[uint32]int{}}
 }
 
 // Hash returns a 32-bit identifier of an incarnation.
@@ -91,7 +94,7 @@
 		changes = append(changes, Change{Event: "gone", Member: *m})
 	}
 	if len(changes) > 0 {
-		r.groupByService()
+		r.index()
 	}
 	return changes
 }
@@ -118,11 +121,13 @@
 	return nil
 }
 
-// groupByService rebuilds the index of members by service.
-func (r *Registry) groupByService() {
+// index rebuilds the indexes of members.
+func (r *Registry) index() {
 	clear(r.services)
+	clear(r.hashes)
 	for _, m := range r.members {
 		r.services[m.Service] = append(r.services[m.Service], m)
+		r.hashes[m.Hash] = m
 	}
 }
 
@@ -147,12 +152,12 @@
 
 // Lists reports whether an incarnation is listed.
 func (r *Registry) Lists(hash uint32) bool {
-	for _, m := range r.members {
-		if m.Hash == hash {
-			return true
-		}
-	}
-	return false
+	return r.hashes[hash] != nil
+}
+
+// ByHash returns the member with a hash, or nil.
+func (r *Registry) ByHash(hash uint32) *Member {
+	return r.hashes[hash]
 }
 
 // OutageEndedAt returns the end of the latest outage of the store, or zero.
--- a/internal/operator/trace/cause.go
+++ b/internal/operator/trace/cause.go
@@ -48,6 +48,8 @@
 		causes = append(causes, t.explainRefusal(end)...)
 	case strings.Contains(reason, "too old for keys"), strings.Contains(reason, "that is old"), reason == "no configuration yet":
 		causes = append(causes, t.explainStaleConfiguration()...)
+	case strings.HasPrefix(reason, "the targets take no more requests"):
+		causes = append(causes, t.explainLimits()...)
 	case strings.HasPrefix(reason, "no target"):
 		causes = append(causes, t.explainMissingTargets()...)
 	}
@@ -94,6 +96,17 @@
 	return causes
 }
 
+// explainLimits explains a refusal because of the limits that targets name.
+func (t *Trace) explainLimits() (causes []string) {
+	for _, l := range t.Lines {
+		if l.Message == "no permit" {
+			causes = append(causes, fmt.Sprintf("The targets of service %s have named limits of %s requests a second together; the next permit was due after %s.",
+				l.Get("service"), l.Get("rate"), l.Get("wait")))
+		}
+	}
+	return causes
+}
+
 // explainRefusal explains why a target refused the request.
 func (t *Trace) explainRefusal(end Line) []string {
 	engine := faultyEngine(end)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -120,6 +120,7 @@
 	exclusive map[uint64]bool
 	// runsSentAt is when sendRuns last sent a datagram.
 	runsSentAt time.Time
+	limits
 	// sequence is the sequence number of the last datagram.
 	sequence uint64
 	// lastSentLoad holds the requests in progress as last sent to the peers, by the hash of the target.
@@ -133,7 +134,7 @@
 		Options: o, metricSet: set, metrics: newProcessMetrics(set), transport: newTransport(), started: o.Now(), incarnation: o.Random.Uint64(),
 		registry: target.NewRegistry(), mesh: mesh.New(o.Settings.Peers, o.Settings.Seeds),
 		budgets: map[string]*budget.Budget{}, estimators: map[string]*seat.Estimator{}, queues: map[string]*seat.Queue{}, reservedSeats: map[string]int{},
-		suspects: suspect.NewTracker(), exclusive: map[uint64]bool{},
+		suspects: suspect.NewTracker(), exclusive: map[uint64]bool{}, limits: newLimits(),
 	}
 	p.confirmedAt.Store(-1)
 	now, _ := o.Boot.Now()
--- a/internal/process/gateway/gateway_attempt.go
+++ b/internal/process/gateway/gateway_attempt.go
@@ -121,8 +121,8 @@
 	if last != outcomeNotRun && (!v.route.Idempotent || v.runs >= v.route.Attempts) {
 		return false
 	}
-	if last == outcomeNotRun && v.service.Grouped() {
-		// The ranks of a group refuse together, so another target would refuse too.
+	if last == outcomeNotRun && v.service.Grouped() && !v.wasLimited {
+		// The ranks of a group refuse together, so another target would refuse too, unless this one refused for its limit.
 		return false
 	}
 	if last == outcomeTruncated && !v.route.Resumable {
--- a/internal/process/gateway/gateway_peers.go
+++ b/internal/process/gateway/gateway_peers.go
@@ -46,16 +46,19 @@
 		p.Log.Warn("peer lost", "peer", lost.Name, "address", lost.Address, "age", now.Sub(lost.LastSeen))
 		p.registry.SetOtherLoads(p.mesh.Loads())
 	}
-	if !due && !p.suspects.HasNews(now) && maps.Equal(p.registry.OwnLoads(), p.lastSentLoad) {
+	if !due && !p.limitsChanged && !p.suspects.HasNews(now) && maps.Equal(p.registry.OwnLoads(), p.lastSentLoad) {
 		return nil, nil
 	}
+	p.limitsChanged = false
 	return p.newLoadDatagram(p.suspects.News(now)), p.mesh.Addresses(false)
 }
 
-// newLoadDatagram returns a datagram with this entry's load and some lost runs; mu is held.
+// newLoadDatagram returns a datagram with this entry's load, the limits of targets and some lost runs; mu is held.
 func (p *Process) newLoadDatagram(runs []suspect.LostRun) *message.News {
 	n := p.newDatagram()
-	n.Runs = message.EncodeRuns(p.Now(), runs)
+	now := p.Now()
+	n.Runs = message.EncodeRuns(now, runs)
+	n.Limits = message.EncodeLimits(now, p.registry.Limits(now))
 	p.lastSentLoad = p.registry.OwnLoads()
 	for hash, running := range p.lastSentLoad {
 		n.Loads = append(n.Loads, &message.Load{Target: hash, Running: uint32(running)})
@@ -103,6 +106,9 @@
 		peer.Loads[l.Target] = int(l.Running)
 	}
 	p.registry.SetOtherLoads(p.mesh.Loads())
+	p.learnLimits(now, n)
+	p.answerAsks(now, from, n.Asks)
+	p.receivePermits(now, n.Permits)
 }
 
 // runsFor returns the lost runs to send to a peer, more of them if it is new; mu is held.
--- a/internal/process/gateway/gateway_run.go
+++ b/internal/process/gateway/gateway_run.go
@@ -160,32 +160,54 @@
 }
 
 // chooseTarget picks the next target and counts the request as in progress there. It returns nil if there is no target, or if
-// the request is rejected because it may end its target.
+// the request is rejected because it may end its target or because the targets take no more.
 func (v *request) chooseTarget() *target.Member {
 	p := v.process
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.Now()
 	if v.attempts == 0 && v.service.Grouped() {
+		p.mu.Lock()
 		p.reservedSeats[v.service.Name]--
+		p.mu.Unlock()
 	}
+	waiting := 1
+	for asks := 0; ; asks++ {
+		m, missing := v.pickTarget(asks < maxAsks)
+		if m == nil || !missing {
+			return m
+		}
+		waiting = p.awaitPermit(v.caller.Context(), m, v.priority, waiting)
+	}
+}
+
+// pickTarget picks a target for the request. If the target has a limit and no permit is left, missing is set and the request
+// does not count as in progress there yet; this happens only if the request may ask for a permit.
+func (v *request) pickTarget(mayAsk bool) (m *target.Member, missing bool) {
+	p := v.process
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Now()
 	verdict := p.suspects.Verdict(now, v.fingerprint)
 	if v.rejection = v.checkSuspect(now, verdict); v.rejection.status != 0 {
-		return nil
+		return nil, false
 	}
-	choice := target.Choice{Service: v.service.Name, Centre: p.settings.Load().Centre, Tried: v.tried}
-	var m *target.Member
+	choice := target.Choice{Service: v.service.Name, Centre: p.settings.Load().Centre, Tried: v.tried, Priority: v.priority, MayAsk: mayAsk}
 	if verdict == suspect.Suspected {
 		v.beginExclusive()
 		m = p.registry.ChooseFixed(now, choice, v.fingerprint, func(hash uint32) bool { return p.suspects.HasLost(now, v.fingerprint, hash) })
 	} else {
 		m = p.registry.Choose(now, choice, p.Random.Float64())
 	}
-	if m != nil {
-		m.Own++
-		v.tried[m.ID] = true
+	if m == nil && v.runs == 0 {
+		v.rejection = v.rejectLimited(now, choice)
+	}
+	if m == nil {
+		return nil, false
+	}
+	if m.Limit().Limited && !m.TakePermit(now) {
+		return m, true
 	}
-	return m
+	m.Own++
+	v.tried[m.ID] = true
+	return m, false
 }
 
 // releaseTarget ends the count of the request at a target, records its result, and admits waiting requests. It returns the
@@ -196,6 +218,7 @@
 	defer p.mu.Unlock()
 	now := p.Now()
 	m.Own--
+	v.wasLimited = m.Limit().Limited
 	m.RecordResult(now, result != outcomeServed && result != outcomeCallerLeft)
 	v.recordRun(now, m, result)
 	if queue := p.queues[v.service.Name]; queue != nil && queue.Waiting() > 0 {
--- a/internal/process/gateway/gateway_serve.go
+++ b/internal/process/gateway/gateway_serve.go
@@ -47,6 +47,8 @@
 	rejection rejection
 	// exclusive is set while no equal request may run at this entry.
 	exclusive bool
+	// wasLimited is set if the target of the latest attempt has a limit.
+	wasLimited bool
 	// runs counts the attempts that may have run the request.
 	runs int
 	// attempts counts all attempts, including those that did not run the request.
--- a/internal/proof/edge/rig_test.go
+++ b/internal/proof/edge/rig_test.go
@@ -256,6 +256,14 @@
 		r.start(e)
 		r.await(func() bool { return r.callAt(e, "GET", "/warm/", nil).status == http.StatusOK || len(handlers) == 0 })
 	}
+	// Entries take seconds to stop; all stop at once.
+	t.Cleanup(func() {
+		for _, e := range r.entries {
+			if e.stop != nil {
+				e.stop()
+			}
+		}
+	})
 	return r
 }
 
--- a/internal/request/limit/limit.go
+++ b/internal/request/limit/limit.go
@@ -1,9 +1,9 @@
-// Package limit enforces the rates of workspaces across entries that share no state. Each workspace has an owner
-// among the entries; the others report their demand to it and get a share of the rate for a short time.
+// Package limit enforces rates across entries that share no state. Each rate has an owner among the entries. For the rate
+// of a workspace, the others report their demand to the owner and get a share of the rate for a short time. For that of a
+// target, which may be below one request a second for all entries together, they get permits for single requests.
 package limit
 
 import (
-	"math"
 	"strings"
 	"time"
 )
@@ -48,8 +48,7 @@
 
 // workspaceState is an entry's state of one workspace.
 type workspaceState struct {
-	// tokens is the number of requests that may be admitted now.
-	tokens float64
+	bucket
 	// demand is the exponentially decaying number of arrivals.
 	demand float64
 	// admitted counts the requests admitted since the last report.
@@ -57,8 +56,6 @@
 	// share is the rate granted by the owner; it is valid until shareExpiry.
 	share       float64
 	shareExpiry time.Time
-	// updated is the time of the latest change of tokens and demand.
-	updated time.Time
 	// lastArrival is the time of the latest arrival.
 	lastArrival time.Time
 }
@@ -79,7 +76,7 @@
 func (l *Limiter) Admit(now time.Time, workspace string, r Rate, entries int) (wait time.Duration, ok bool) {
 	w := l.workspaces[workspace]
 	if w == nil {
-		w = &workspaceState{tokens: 1 + float64(r.Burst)/float64(max(entries, 1)), updated: now}
+		w = &workspaceState{bucket: bucket{tokens: 1 + float64(r.Burst)/float64(max(entries, 1)), updated: now}}
 		l.workspaces[workspace] = w
 	}
 	share := w.currentShare(now, r, entries)
@@ -105,11 +102,8 @@
 
 // advance adds tokens and decays the demand up to the current time.
 func (w *workspaceState) advance(now time.Time, share float64, r Rate) {
-	passed := max(now.Sub(w.updated), 0).Seconds()
-	limit := max(1, share*burstTime.Seconds()+float64(r.Burst)*share/r.Rate)
-	w.tokens = min(w.tokens+share*passed, max(limit, w.tokens))
-	w.demand *= math.Exp(-passed / demandDecay.Seconds())
-	w.updated = now
+	passed := w.fill(now, share, max(1, share*burstTime.Seconds()+float64(r.Burst)*share/r.Rate))
+	w.demand *= decay(passed)
 }
 
 // Demands returns the demand of each recently used workspace and drops the idle ones.
@@ -122,8 +116,7 @@
 		if now.Sub(w.lastArrival) > grantLifetime {
 			continue
 		}
-		passed := max(now.Sub(w.updated), 0).Seconds()
-		demand := w.demand * math.Exp(-passed/demandDecay.Seconds()) / demandDecay.Seconds()
+		demand := w.demand * decay(now.Sub(w.updated)) / demandDecay.Seconds()
 		shares = append(shares, Share{Workspace: name, Rate: demand, Admitted: w.admitted})
 		w.admitted = 0
 	}
--- a/internal/request/limit/limit_owner.go
+++ b/internal/request/limit/limit_owner.go
@@ -7,11 +7,11 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/base/rendezvous"
 )
 
-// Owner returns the entry that divides a workspace's rate.
-func Owner(workspace string, entries []string) string {
+// Owner returns the entry that owns the rate with a key, which is the name of a workspace or identifies a target.
+func Owner(key string, entries []string) string {
 	best, bestScore := "", uint64(0)
 	for _, e := range entries {
-		if score := rendezvous.Score(workspace, e); best == "" || score > bestScore {
+		if score := rendezvous.Score(key, e); best == "" || score > bestScore {
 			best, bestScore = e, score
 		}
 	}
@@ -86,7 +86,7 @@
 // adjustFactor adds admitted requests and corrects the factor once per interval:
 // each entry admits a little without a grant, which adds up with many entries.
 func (d *allocation) adjustFactor(now time.Time, admitted int, rate float64) {
-	d.admitted = d.admitted*math.Exp(-now.Sub(d.updated).Seconds()/demandDecay.Seconds()) + float64(admitted)
+	d.admitted = d.admitted*decay(now.Sub(d.updated)) + float64(admitted)
 	d.updated = now
 	if now.Sub(d.adjusted) < ReportInterval {
 		return
