Let permits of one entry change nothing for the others

A datagram to the owner of a rate alone counted as sent to all entries, so the load that it held was repeated up to 0.6 s later than with a broadcast. Found by reading; no test showed it. Only datagrams to all count now.

--- a/internal/process/gateway/gateway_limit.go
+++ b/internal/process/gateway/gateway_limit.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
@@ -98,7 +100,7 @@
 		return
 	}
 	p.limitsSentAt = now
-	p.sendDatagram(p.newLoadDatagram(p.suspects.News(now)), p.mesh.Addresses(false))
+	p.sendDatagram(p.newBroadcast(now), p.mesh.Addresses(false))
 }
 
 // learnLimits records the limits that a peer has reported; mu is held.
@@ -110,19 +112,15 @@
 	}
 }
 
-// rateOwner returns the entry that owns the rate of a target and the number of entries; the address is invalid if it is
-// this entry. mu is held.
-func (p *Process) rateOwner(now time.Time, hash uint32) (name string, address netip.AddrPort, entries int) {
-	names := []string{p.settings.Load().Name}
-	addresses := map[string]netip.AddrPort{}
+// liveEntries returns the addresses by name of the entries that may own rates; that of this entry is invalid. mu is held.
+func (p *Process) liveEntries(now time.Time) map[string]netip.AddrPort {
+	entries := map[string]netip.AddrPort{p.settings.Load().Name: {}}
 	for _, peer := range p.mesh.Peers(false) {
 		if now.Sub(peer.LastSeen) < ownerTimeout {
-			names = append(names, peer.Name)
-			addresses[peer.Name] = peer.Address
+			entries[peer.Name] = peer.Address
 		}
 	}
-	name = limit.Owner(strconv.FormatUint(uint64(hash), 16), names)
-	return name, addresses[name], len(names)
+	return entries
 }
 
 // awaitPermit asks the owner of a target's rate for permits and waits for the answer, which is recorded at the target. If this
@@ -152,9 +150,11 @@
 func (p *Process) ask(m *target.Member, priority, count int) *permitRequest {
 	now := p.Now()
 	r := limit.PermitRequest{Target: m.Hash, Rate: m.Limit().Rate, Priority: priority, Count: count}
-	owner, address, entries := p.rateOwner(now, m.Hash)
+	entries := p.liveEntries(now)
+	owner := limit.Owner(strconv.FormatUint(uint64(m.Hash), 16), slices.Collect(maps.Keys(entries)))
+	address := entries[owner]
 	if !address.IsValid() {
-		p.applyPermits(now, m, priority, p.issuer.Issue(now, r, entries))
+		p.applyPermits(now, m, priority, p.issuer.Issue(now, r, len(entries)))
 		return nil
 	}
 	p.lastAsk++
@@ -192,7 +192,7 @@
 		return
 	}
 	reply := p.newLoadDatagram(nil)
-	_, _, entries := p.rateOwner(now, 0)
+	entries := len(p.liveEntries(now))
 	for _, ask := range asks {
 		r := ask.Decode()
 		if m := p.registry.ByHash(r.Target); m != nil && m.Limit().Limited {
--- a/internal/process/gateway/gateway_peers.go
+++ b/internal/process/gateway/gateway_peers.go
@@ -49,8 +49,14 @@
 	if !due && !p.limitsChanged && !p.suspects.HasNews(now) && maps.Equal(p.registry.OwnLoads(), p.lastSentLoad) {
 		return nil, nil
 	}
+	return p.newBroadcast(now), p.mesh.Addresses(false)
+}
+
+// newBroadcast returns a datagram for all entries with what has changed; mu is held.
+func (p *Process) newBroadcast(now time.Time) *message.News {
 	p.limitsChanged = false
-	return p.newLoadDatagram(p.suspects.News(now)), p.mesh.Addresses(false)
+	p.lastSentLoad = p.registry.OwnLoads()
+	return p.newLoadDatagram(p.suspects.News(now))
 }
 
 // newLoadDatagram returns a datagram with this entry's load, the limits of targets and some lost runs; mu is held.
@@ -59,8 +65,7 @@
 	now := p.Now()
 	n.Runs = message.EncodeRuns(now, runs)
 	n.Limits = message.EncodeLimits(now, p.registry.Limits(now))
-	p.lastSentLoad = p.registry.OwnLoads()
-	for hash, running := range p.lastSentLoad {
+	for hash, running := range p.registry.OwnLoads() {
 		n.Loads = append(n.Loads, &message.Load{Target: hash, Running: uint32(running)})
 	}
 	return n
--- a/internal/process/gateway/gateway_suspect.go
+++ b/internal/process/gateway/gateway_suspect.go
@@ -99,7 +99,7 @@
 		return
 	}
 	p.runsSentAt = now
-	p.sendDatagram(p.newLoadDatagram(p.suspects.News(now)), p.mesh.Addresses(false))
+	p.sendDatagram(p.newBroadcast(now), p.mesh.Addresses(false))
 }
 
 // learnRuns records the lost runs that another process has reported; mu is held.
