--- /dev/null
+++ b/internal/process/gateway/gateway_permit.go
@@ -0,0 +1,165 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/edge/target"
+	"github.com/dragonflydeal/dragonflydeal/internal/request/limit"
+	"github.com/dragonflydeal/dragonflydeal/internal/wire/message"
+)
+
+const (
+	// permitTimeout is the time that a request waits for a permit of another entry.
+	permitTimeout = 60 * time.Millisecond
+	// unansweredDenial is how long an entry does not ask again for permits of a target after it got no answer.
+	unansweredDenial = 200 * time.Millisecond
+	// maxAsks bounds the permits that one attempt waits for.
+	maxAsks = 3
+	// ownerTimeout is the age of the latest datagram above which an entry owns no rates: two of them may be lost.
+	ownerTimeout = 3 * maxSendInterval
+	// limitReason is the reason for the refusal of a request whose targets all have a limit.
+	limitReason = "the targets take no more requests now"
+)
+
+// permitRequest is a request for permits that waits for the answer of another entry.
+type permitRequest struct {
+	number   uint64
+	member   *target.Member
+	priority int
+	// joined is the number of callers' requests that wait for the same answer.
+	joined int
+	// done is closed once the answer has arrived or the time for it is over.
+	done chan struct{}
+}
+
+// liveEntries returns the addresses by name of the entries that may own rates; that of this entry is invalid. mu is held.
+func (p *Process) liveEntries(now time.Time) map[string]netip.AddrPort {
+	entries := map[string]netip.AddrPort{p.settings.Load().Name: {}}
+	for _, peer := range p.mesh.Peers(false) {
+		if now.Sub(peer.LastSeen) < ownerTimeout {
+			entries[peer.Name] = peer.Address
+		}
+	}
+	return entries
+}
+
+// awaitPermit asks the owner of a target's rate for permits and waits for the answer, which is recorded at the target. If this
+// entry has asked already, it waits for that answer. It returns the number of requests that waited for it.
+func (p *Process) awaitPermit(ctx context.Context, m *target.Member, priority, count int) (joined int) {
+	p.mu.Lock()
+	ask := p.asked[m.Hash]
+	if ask == nil {
+		ask = p.ask(m, priority, count)
+	}
+	if ask != nil {
+		ask.joined++
+	}
+	p.mu.Unlock()
+	if ask == nil {
+		return 1
+	}
+	select {
+	case <-ask.done:
+		return ask.joined
+	case <-ctx.Done():
+		return 1
+	}
+}
+
+// ask asks for permits. It returns nil if this entry owns the rate, so that the answer is recorded at once; mu is held.
+func (p *Process) ask(m *target.Member, priority, count int) *permitRequest {
+	now := p.Now()
+	r := limit.PermitRequest{Target: m.Hash, Rate: m.Limit().Rate, Priority: priority, Count: count}
+	entries := p.liveEntries(now)
+	owner := limit.Owner(strconv.FormatUint(uint64(m.Hash), 16), slices.Collect(maps.Keys(entries)))
+	address := entries[owner]
+	if !address.IsValid() {
+		p.applyPermits(now, m, priority, p.issuer.Issue(now, r, len(entries)))
+		return nil
+	}
+	p.lastAsk++
+	ask := &permitRequest{number: p.lastAsk, member: m, priority: priority, done: make(chan struct{})}
+	p.asked[m.Hash] = ask
+	n := p.newLoadDatagram(nil)
+	n.Asks = []*message.PermitRequest{message.EncodePermitRequest(ask.number, r)}
+	p.sendDatagram(n, []netip.AddrPort{address})
+	time.AfterFunc(permitTimeout, func() { p.expireAsk(ask, owner) })
+	return ask
+}
+
+// expireAsk ends a request for permits if it has no answer yet.
+func (p *Process) expireAsk(ask *permitRequest, owner string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.asked[ask.member.Hash] != ask {
+		return
+	}
+	p.Log.Warn("permit unanswered", "target", ask.member.ID, "peer", owner, "waited", permitTimeout, "requests", ask.joined)
+	p.metrics.permits.With("event", "unanswered").Add(1)
+	ask.member.ApplyPermits(p.Now(), limit.Permits{Wait: unansweredDenial}, 0)
+	p.endAsk(ask)
+}
+
+// endAsk lets the requests that wait for permits go on; mu is held.
+func (p *Process) endAsk(ask *permitRequest) {
+	delete(p.asked, ask.member.Hash)
+	close(ask.done)
+}
+
+// answerAsks answers a peer's requests for permits; mu is held.
+func (p *Process) answerAsks(now time.Time, from netip.AddrPort, asks []*message.PermitRequest) {
+	if len(asks) == 0 {
+		return
+	}
+	reply := p.newLoadDatagram(nil)
+	entries := len(p.liveEntries(now))
+	for _, ask := range asks {
+		r := ask.Decode()
+		if m := p.registry.ByHash(r.Target); m != nil && m.Limit().Limited {
+			r.Rate = m.Limit().Rate
+		}
+		permits := p.issuer.Issue(now, r, entries)
+		p.metrics.permits.With("event", "issued").Add(float64(permits.Count))
+		reply.Permits = append(reply.Permits, message.EncodePermits(ask.Number, permits))
+	}
+	p.sendDatagram(reply, []netip.AddrPort{from})
+}
+
+// receivePermits records the answers to this entry's requests for permits; mu is held.
+func (p *Process) receivePermits(now time.Time, permits []*message.Permits) {
+	for _, w := range permits {
+		for _, ask := range p.asked {
+			if ask.number == w.Number {
+				p.applyPermits(now, ask.member, ask.priority, w.Decode())
+				p.endAsk(ask)
+			}
+		}
+	}
+}
+
+// applyPermits records the answer to a request for permits; mu is held.
+func (p *Process) applyPermits(now time.Time, m *target.Member, priority int, permits limit.Permits) {
+	m.ApplyPermits(now, permits, priority)
+	event := "granted"
+	if permits.Count == 0 {
+		event = "denied"
+	}
+	p.metrics.permits.With("event", event).Add(1)
+}
+
+// rejectLimited returns the rejection of a request if targets are left out of its choice for their limits; mu is held.
+func (v *request) rejectLimited(now time.Time, c target.Choice) rejection {
+	p := v.process
+	at, rate := p.registry.NextPermit(now, c)
+	if at.IsZero() {
+		return rejection{}
+	}
+	p.Log.Info("no permit", "id", v.ID, "service", c.Service, "rate", rate, "wait", at.Sub(now), "priority", c.Priority)
+	return rejection{http.StatusServiceUnavailable, limitReason, limit.RetryAfter(at.Sub(now), rate, p.Random.Float64())}
+}
