--- a/internal/proof/edge/limit_fault_test.go
+++ b/internal/proof/edge/limit_fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -147,3 +148,29 @@
 	}
 	is.True(refused > 40)
 }
+
+// TestGroupServesPastALimitedRank has a rank of a group refuse requests at its limit, which the other ranks take.
+func TestGroupServesPastALimitedRank(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	var refused atomic.Int64
+	r := newRig(t, time.Minute, func(w http.ResponseWriter, q *http.Request) {
+		if q.URL.Path == "/warm/" {
+			serveDone(w, q)
+			return
+		}
+		refused.Add(1)
+		w.Header().Set("Server-Limit", "2")
+		refuse(w, q)
+	}, serveDone)
+	r.engine = map[string]any{"stride": 4, "step_ms": 1, "per_seq_ms": 0.1, "sets": 2, "experts": 4, "places": 4}
+	r.configure(2, testKey)
+	// Afterwards the entry has read the configuration.
+	time.Sleep(time.Second)
+	for range 40 {
+		is.Equal(r.call("POST", "/once/", nil).status, http.StatusOK)
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Logf("%d requests refused by the limited rank", refused.Load())
+	is.True(refused.Load() >= 1 && refused.Load() <= 10)
+}
--- a/internal/proof/edge/rig_test.go
+++ b/internal/proof/edge/rig_test.go
@@ -172,6 +172,8 @@
 	address netip.AddrPort
 	targets []*target
 	entries []*entry
+	// engine describes the engines of a group in the next configuration; nil for a plain service.
+	engine map[string]any
 	// split is set while entries of odd and of even numbers do not reach each other.
 	split atomic.Bool
 }
@@ -343,7 +345,7 @@
 	warmRoute["public"] = true
 	r.store.put("op/config", map[string]any{
 		"version":  version,
-		"services": []any{map[string]any{"name": "holds"}},
+		"services": []any{map[string]any{"name": "holds", "engine": r.engine}},
 		"tenants":  []any{map[string]any{"name": testWorkspace, "apiKeys": []string{key}}},
 		"limits":   map[string]any{"maxBodyBytes": 1 << 20},
 		"routes": []any{
