--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -118,7 +118,7 @@
 	suspects *suspect.Tracker
 	// exclusive holds the fingerprints of suspected requests in progress.
 	exclusive map[uint64]bool
-	// runsSentAt is when sendRuns last sent a datagram.
+	// runsSentAt is when a datagram was last sent for lost runs alone.
 	runsSentAt time.Time
 	limits
 	// sequence is the sequence number of the last datagram.
--- a/internal/process/gateway/gateway_limit.go
+++ b/internal/process/gateway/gateway_limit.go
@@ -9,9 +9,6 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/wire/message"
 )
 
-// minLimitsInterval is the shortest time between two datagrams that are sent for limits alone.
-const minLimitsInterval = 20 * time.Millisecond
-
 // limits is the part of a Process that keeps the limits of targets, guarded by its mu.
 type limits struct {
 	// issuer issues permits for the targets whose rates this entry owns.
@@ -20,8 +17,8 @@
 	// latest number.
 	asked   map[uint32]*permitRequest
 	lastAsk uint64
-	// limitsChanged is set while a change of a limit has not been sent to the peers; limitsSentAt is when sendLimits last
-	// sent a datagram.
+	// limitsChanged is set while a change of a limit has not been sent to the peers; limitsSentAt is when a datagram was last
+	// sent for limits alone.
 	limitsChanged bool
 	limitsSentAt  time.Time
 }
@@ -48,7 +45,8 @@
 		l = target.Limit{Rate: a.Statement.Limit, Limited: true, At: now}
 	}
 	if p.setLimit(m, l, "") {
-		p.sendLimits(now)
+		p.limitsChanged = true
+		p.sendNews(now, &p.limitsSentAt)
 	}
 }
 
@@ -63,17 +61,6 @@
 	return true
 }
 
-// sendLimits sends the limits to the other entries at once, or with the next datagram if it sent them just before; mu is
-// held.
-func (p *Process) sendLimits(now time.Time) {
-	p.limitsChanged = true
-	if now.Sub(p.limitsSentAt) < minLimitsInterval {
-		return
-	}
-	p.limitsSentAt = now
-	p.sendDatagram(p.newBroadcast(now), p.mesh.Addresses(false))
-}
-
 // learnLimits records the limits that a peer has reported; mu is held.
 func (p *Process) learnLimits(now time.Time, n *message.News) {
 	for _, l := range n.Limits {
--- a/internal/process/gateway/gateway_peers.go
+++ b/internal/process/gateway/gateway_peers.go
@@ -17,8 +17,8 @@
 	minSendInterval = 150 * time.Millisecond
 	// maxSendInterval is the time after which an unchanged load is re-sent.
 	maxSendInterval = 600 * time.Millisecond
-	// minRunsInterval is the shortest time between two datagrams that are sent for lost runs alone.
-	minRunsInterval = 20 * time.Millisecond
+	// minNewsInterval is the shortest time between two datagrams that are sent for lost runs alone, or for limits alone.
+	minNewsInterval = 20 * time.Millisecond
 )
 
 // broadcastLoad sends this entry's load to the other entries until the context ends.
@@ -52,6 +52,16 @@
 	return p.newBroadcast(now), p.mesh.Addresses(false)
 }
 
+// sendNews sends what has changed to the other entries at once. If a datagram was sent for the same kind of news just before,
+// broadcastLoad sends it later; mu is held.
+func (p *Process) sendNews(now time.Time, sentAt *time.Time) {
+	if now.Sub(*sentAt) < minNewsInterval {
+		return
+	}
+	*sentAt = now
+	p.sendDatagram(p.newBroadcast(now), p.mesh.Addresses(false))
+}
+
 // newBroadcast returns a datagram for all entries with what has changed; mu is held.
 func (p *Process) newBroadcast(now time.Time) *message.News {
 	p.limitsChanged = false
--- a/internal/process/gateway/gateway_suspect.go
+++ b/internal/process/gateway/gateway_suspect.go
@@ -89,17 +89,8 @@
 	p.Log.Info("run lost", "id", v.ID, "fingerprint", formatFingerprint(v.fingerprint), "target", m.ID, "fate", fate,
 		"verdict", p.suspects.Verdict(now, v.fingerprint))
 	p.metrics.lostRuns.With("event", fate.String()).Add(1)
-	p.sendRuns(now)
-}
-
-// sendRuns sends the latest lost runs to the other entries at once, so that they arrive before the caller's retry; mu is
-// held.
-func (p *Process) sendRuns(now time.Time) {
-	if now.Sub(p.runsSentAt) < minRunsInterval {
-		return
-	}
-	p.runsSentAt = now
-	p.sendDatagram(p.newBroadcast(now), p.mesh.Addresses(false))
+	// The news must arrive before the caller's retry.
+	p.sendNews(now, &p.runsSentAt)
 }
 
 // learnRuns records the lost runs that another process has reported; mu is held.
--- a/internal/proof/edge/rig_test.go
+++ b/internal/proof/edge/rig_test.go
@@ -13,7 +13,6 @@
 	"net/http/httptest"
 	"net/netip"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -26,104 +25,6 @@
 	"github.com/dragonflydeal/dragonflydeal/platform"
 )
 
-// store is a fake of the platform's store.
-type store struct {
-	mu sync.Mutex
-	// values holds the encoded items by key, and revision counts changes; guarded by mu.
-	values   map[string]json.RawMessage
-	revision int64
-	// unavailable makes all calls fail; dropEvents makes watches return no events.
-	unavailable, dropEvents atomic.Bool
-	// calls counts the HTTP calls of all kinds.
-	calls atomic.Int64
-}
-
-func (s *store) put(key string, value any) {
-	data, err := json.Marshal(value)
-	if err != nil {
-		panic(err)
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision++
-	item, err := json.Marshal(map[string]any{"key": key, "value": data, "rev": s.revision})
-	if err != nil {
-		panic(err)
-	}
-	s.values[key] = item
-}
-
-// remove replaces a key by a tombstone.
-func (s *store) remove(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision++
-	s.values[key] = json.RawMessage(fmt.Sprintf(`{"key":%q,"rev":%d,"tombstone":true}`, key, s.revision))
-}
-
-func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.calls.Add(1)
-	if s.unavailable.Load() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	query := r.URL.Query()
-	switch strings.TrimPrefix(r.URL.Path, "/dragonflydeal/") {
-	case "kv-key":
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		value, ok := s.values[query.Get("key")]
-		if !ok {
-			w.WriteHeader(http.StatusNotFound)
-			return
-		}
-		fmt.Fprint(w, strings.TrimSuffix(string(value), "}")+`,"asOf":`+strconv.FormatInt(s.revision, 10)+"}")
-	case "kv-range":
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		items := []json.RawMessage{}
-		for key, value := range s.values {
-			if strings.HasPrefix(key, query.Get("prefix")) {
-				items = append(items, value)
-			}
-		}
-		reply(w, map[string]any{"items": items, "hasMore": false, "asOf": s.revision})
-	case "kv-watch":
-		s.watch(w, query.Get("prefix"), query.Get("after"), query.Get("waitMs"))
-	}
-}
-
-func reply(w http.ResponseWriter, value any) {
-	if err := json.NewEncoder(w).Encode(value); err != nil {
-		panic(err)
-	}
-}
-
-func (s *store) watch(w http.ResponseWriter, prefix, after, wait string) {
-	from, _ := strconv.ParseInt(after, 10, 64)
-	limit, _ := strconv.Atoi(wait)
-	for began := time.Now(); ; time.Sleep(5 * time.Millisecond) {
-		if s.unavailable.Load() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		events := []json.RawMessage{}
-		s.mu.Lock()
-		for key, value := range s.values {
-			var item struct{ Rev int64 }
-			if err := json.Unmarshal(value, &item); err == nil && !s.dropEvents.Load() && item.Rev > from && strings.HasPrefix(key, prefix) {
-				events = append(events, value)
-			}
-		}
-		revision := s.revision
-		s.mu.Unlock()
-		if len(events) > 0 || time.Since(began) > time.Duration(limit)*time.Millisecond {
-			reply(w, map[string]any{"events": events, "asOf": revision})
-			return
-		}
-	}
-}
-
 // target is a fake target; handle serves its requests.
 type target struct {
 	*httptest.Server
