--- a/internal/request/limit/limit_bucket.go
+++ b/internal/request/limit/limit_bucket.go
@@ -23,5 +23,5 @@
 
 // decay returns the part of an exponentially decaying count that is left after some time.
 func decay(passed time.Duration) float64 {
-	return math.Exp(-passed.Seconds() / demandDecay.Seconds())
+	return math.Exp(-max(passed, 0).Seconds() / demandDecay.Seconds())
 }
