Give up an order to an engine after 30 ms

Cause: an engine that leaves an order unanswered carries it out seconds later; the slot waited 80 ms before it sent the order again, and the group was held meanwhile. With one order in ten unanswered and 24 ranks, nearly each switch held the group for 0.2 to 0.5 s, and all running streams were late. Change: orderTimeout is 30 ms; an engine on the same machine answers in a few milliseconds.

--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -41,7 +41,7 @@
 	engineTimeout = 400 * time.Millisecond
 	// orderTimeout is the time after which the outcome of an order is treated as unknown. An engine on the same machine
 	// answers in milliseconds, and the group may be held while an order is retried.
-	orderTimeout = 80 * time.Millisecond
+	orderTimeout = 30 * time.Millisecond
 	// configurationTimeout bounds a read of the configuration, and configurationInterval is the time between two reads.
 	configurationTimeout  = 2 * time.Second
 	configurationInterval = 15 * time.Second
