Serve requests elsewhere whose target or data centre cannot be reached

Cause: a failed connection to one rank counted as a refusal by its whole group, so the caller got 503 with Retry-After 4 s though other groups were free; it also took a retry from the budget although nothing had arrived. While a data centre was cut off each of its targets cost requests 300 ms again and again. Change: a request that reached no target goes to another one without a retry from the budget. A connection is given up after 150 ms.

--- a/internal/edge/target/choose.go
+++ b/internal/edge/target/choose.go
@@ -64,7 +64,7 @@
 	offset := int(randomValue * float64(len(list)))
 	for i := range list {
 		if m := list[(i+offset)%len(list)]; c.allows(now, m) {
-			r.candidates, r.costs = append(r.candidates, m), append(r.costs, m.cost(now, c.Centre))
+			r.candidates, r.costs = append(r.candidates, m), append(r.costs, r.cost(now, m, c.Centre))
 		}
 	}
 	if len(r.candidates) == 0 {
@@ -117,7 +117,7 @@
 		if !c.allows(now, m) {
 			continue
 		}
-		avoided, score := avoid(m.Hash) || now.Before(m.blockedUntil), rendezvous.Score(key, m.ID)
+		avoided, score := avoid(m.Hash) || r.avoided(now, m), rendezvous.Score(key, m.ID)
 		if best == nil || bestAvoided && !avoided || bestAvoided == avoided && score > bestScore {
 			best, bestAvoided, bestScore = m, avoided, score
 		}
@@ -129,7 +129,7 @@
 const blockCost = 1000
 
 // cost returns the cost of a target in requests: its load and penalties for distance, failures and being unreachable.
-func (m *Member) cost(now time.Time, centre string) float64 {
+func (r *Registry) cost(now time.Time, m *Member, centre string) float64 {
 	cost := float64(m.Running())
 	if m.Centre != centre {
 		cost += remoteCost
@@ -137,7 +137,7 @@
 	if m.failureShare > 0 {
 		cost += failureCost * m.decayedFailures(now)
 	}
-	if now.Before(m.blockedUntil) {
+	if r.avoided(now, m) {
 		cost += blockCost
 	}
 	return cost
--- a/internal/edge/target/target.go
+++ b/internal/edge/target/target.go
@@ -58,6 +58,8 @@
 	hashes   map[uint32]*Member
 	// wishes holds what targets have said about the requests that they want, by Hash.
 	wishes map[uint32]wish
+	// reach holds the data centres to which a connection failed and none was made since.
+	reach map[string]*centreReach
 	// storeFailing is set if the latest read of the store failed.
 	storeFailing bool
 	// outageEndedAt is the end of the latest outage of the store.
@@ -71,7 +73,7 @@
 
 // NewRegistry returns an empty Registry.
 func NewRegistry() *Registry {
-	return &Registry{members: map[string]*Member{}, services: map[string][]*Member{}, hashes: map[uint32]*Member{}, wishes: map[uint32]wish{}, otherLoads: map[uint32]int{}}
+	return &Registry{members: map[string]*Member{}, services: map[string][]*Member{}, hashes: map[uint32]*Member{}, wishes: map[uint32]wish{}, reach: map[string]*centreReach{}, otherLoads: map[uint32]int{}}
 }
 
 // Hash returns a 32-bit identifier of an incarnation.
--- a/internal/process/gateway/gateway_attempt.go
+++ b/internal/process/gateway/gateway_attempt.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	// dialTimeout bounds connecting to a target, which normally takes a few milliseconds.
-	dialTimeout = 300 * time.Millisecond
+	// dialTimeout bounds connecting to a target, which normally takes a few milliseconds. Another target must still be able to
+	// answer on time, for which callers allow some tenths of a second.
+	dialTimeout = 150 * time.Millisecond
 	// attemptTimeoutGoals is the time limit of an attempt, as a multiple of the route's goal, for plain idempotent
 	// requests that may still be retried at another target.
 	attemptTimeoutGoals = 2
@@ -130,7 +131,8 @@
 	if last == outcomeTruncated && !v.route.Resumable {
 		return false
 	}
-	return v.takeRetry()
+	// What never reached a target is no retry there.
+	return v.unreached || v.takeRetry()
 }
 
 // fail ends a request that no target served, with the last error answer of a target if there is one. Otherwise the
@@ -172,7 +174,7 @@
 	p := v.process
 	began := p.Now()
 	v.fate, v.events, v.heardAt, v.succeeded = suspect.FateNone, 0, began, false
-	v.statement, v.groupRefused = call.Statement{}, v.service.Grouped()
+	v.statement, v.groupRefused, v.unreached, v.connected = call.Statement{}, v.service.Grouped(), false, false
 	defer func() {
 		running := v.releaseTarget(m, result)
 		p.metrics.attempts.With("outcome", result.String()).Add(1)
@@ -197,8 +199,9 @@
 	}
 	response, err := p.transport.RoundTrip(r)
 	if err != nil {
-		return v.classifyError(ctx, m, err)
+		return v.classifyError(ctx, err)
 	}
+	v.connected = true
 	defer response.Body.Close()
 	a := p.Codec.DecodeAnswer(v.Call, response)
 	v.statement = a.Statement
@@ -217,18 +220,16 @@
 	return attemptTimeoutGoals * v.route.Goal
 }
 
-// classifyError returns the outcome of an attempt that ended without an answer. A target that cannot be reached is
-// blocked.
-func (v *request) classifyError(ctx context.Context, m *target.Member, err error) (outcome, *bufferedAnswer, string) {
+// classifyError returns the outcome of an attempt that ended without an answer.
+func (v *request) classifyError(ctx context.Context, err error) (outcome, *bufferedAnswer, string) {
 	var op *net.OpError
 	switch {
 	case v.caller.Context().Err() != nil:
 		v.fate = suspect.FateSilent
 		return outcomeCallerLeft, nil, "caller left"
 	case errors.As(err, &op) && op.Op == "dial":
-		v.process.mu.Lock()
-		m.Block(v.process.Now())
-		v.process.mu.Unlock()
+		// Of a group whose rank cannot be reached nothing is known, and other groups may serve the request.
+		v.unreached, v.groupRefused = true, false
 		return outcomeNotRun, nil, "not connected: " + err.Error()
 	}
 	v.fate = lostFate(ctx)
--- a/internal/process/gateway/gateway_run.go
+++ b/internal/process/gateway/gateway_run.go
@@ -221,6 +221,7 @@
 		return m, true
 	}
 	m.Own++
+	p.registry.NoteAttempt(now, m)
 	v.tried[m.ID] = true
 	p.loadChanged(now)
 	return m, false
@@ -246,6 +247,7 @@
 	now := p.Now()
 	m.Own--
 	p.loadChanged(now)
+	v.recordReach(now, m)
 	if v.statement.Wait == 0 {
 		// A target that asks for rest has named the time in which it is not used.
 		m.RecordResult(now, result != outcomeServed && result != outcomeCallerLeft)
@@ -257,6 +259,17 @@
 	return m.Running()
 }
 
+// recordReach records whether a connection to the target of the latest attempt was made; mu is held.
+func (v *request) recordReach(now time.Time, m *target.Member) {
+	p := v.process
+	switch {
+	case v.unreached && p.registry.MarkUnreachable(now, m):
+		p.Log.Warn("centre unreachable", "centre", m.Centre, "target", m.ID, "id", v.ID)
+	case v.connected && p.registry.MarkReached(m):
+		p.Log.Info("centre reachable", "centre", m.Centre, "target", m.ID, "id", v.ID)
+	}
+}
+
 // takeRetry takes a retry from the service's budget and reports whether one was left.
 func (v *request) takeRetry() bool {
 	p := v.process
--- a/internal/process/gateway/gateway_serve.go
+++ b/internal/process/gateway/gateway_serve.go
@@ -54,6 +54,8 @@
 	// groupRefused is set if the target of the latest attempt is one of a group and did not refuse for itself alone: all of the group
 	// refuse then.
 	groupRefused bool
+	// unreached is set if no connection was made in the latest attempt, and connected if the target answered.
+	unreached, connected bool
 	// runs counts the attempts that may have run the request.
 	runs int
 	// attempts counts all attempts, including those that did not run the request.
--- a/internal/proof/edge/rest_test.go
+++ b/internal/proof/edge/rest_test.go
@@ -239,3 +239,18 @@
 		})
 	}
 }
+
+// TestUnreachableRankIsNoRefusalOfItsGroup ends one of two targets of a service with groups without a change of its record: requests
+// that chose it must be served by the other one, also without any retry left in the budget.
+func TestUnreachableRankIsNoRefusalOfItsGroup(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, time.Minute, withWarmRoute(serveAny), withWarmRoute(serveAny))
+	r.engine = map[string]any{"stride": 4, "step_ms": 1, "per_seq_ms": 0.1, "sets": 2, "experts": 4, "places": 4}
+	r.configure(2, testKey)
+	time.Sleep(time.Second)
+	r.targets[0].Close()
+	for range 40 {
+		is.Equal(r.call("POST", "/once/", nil).status, http.StatusOK)
+		time.Sleep(50 * time.Millisecond)
+	}
+}
