Move the experts of slow ranks to other ranks

Cause: a pass of a group waits for its slowest rank in each set of layers. An engine that is twelve times slower for nine seconds made all streams of its group late for as long; the planner counted loads only.

Change: the platform's package decodes pace from the engine's report. A value that is no number counts as a usual pace and does not make the rest of the report unreadable; the value is at least 1 and at most 100. Slots send it to the leader (RankState.pace, at once if it changes by much), and load.Planner keeps it for 3 s by rank and epoch. From 1.25 on a pace counts; ranks are compared with the fastest, so a group that is slow as a whole changes nothing. From 3 on a rank gives up all experts (balance.Vacate: drop, or one load elsewhere, also in place of a spare replica), unless another rank would become the slowest. A rank may load experts of slow ranks for 0.4 s in one switch instead of 0.1 s, and as many after it was slow until it holds an expert of each set again. Fewer counts are enough for a decision, since a slow group counts fewer. A rank without experts has an empty list on the wire to the engine, which was encoded as null before. If two switches to such a map in a row fail, each rank keeps one expert.

Also: the limit of experts that one preparation adds to a rank of a set now holds over both rounds of a plan; each round counted for itself. No plan of the tests exceeded it.

Cost: the old map stays in use for up to 0.3 s longer before such a switch.

--- a/internal/group/balance/relief.go
+++ b/internal/group/balance/relief.go
@@ -11,12 +11,18 @@
 	Capacity int
 	// MaxAdded is the maximum number of experts that one switch adds to a rank.
 	MaxAdded int
+	// InUse is the map from which the added experts are counted; nil means the current one.
+	InUse *Placement
 	// MaxAddedByRank limits the additions further for each rank; it may be nil.
 	MaxAddedByRank []int
 	// MaxLoads is the maximum number of experts that all ranks together load; zero means no limit.
 	MaxLoads int
 	// MinReduction is the reduction of the busiest rank's load, in mean loads, that each loaded expert must bring.
 	MinReduction float64
+	// Slowness is the factor on the step time of each rank, at least 1; nil if no rank is slow.
+	Slowness []float64
+	// KeepOne keeps at least one expert on each very slow rank.
+	KeepOne bool
 }
 
 const (
@@ -39,7 +45,7 @@
 	}
 	initial, best, bestNet, stale := s.maxTime(), current.Clone(), 0.0, 0
 	cost := 0
-	patience := max(minReliefPatience, len(current.Ranks)/ranksPerChange)
+	patience := s.patience()
 	for stale < patience {
 		c, ok := s.bestChange()
 		if !ok {
@@ -62,24 +68,47 @@
 	return best, Moves(current, best)
 }
 
-// reliefSearch improves a map by greedy changes; it assumes equally fast ranks.
+// reliefSearch improves a map by greedy changes.
 type reliefSearch struct {
 	*searchState
 	ReliefOptions
-	// added counts the experts added to each rank.
-	added []int
+	// added counts the experts added to each rank, and addedBefore those by which the current map differs from that in use.
+	added, addedBefore []int
 }
 
 func newReliefSearch(o ReliefOptions, p *Placement, loads []float64) *reliefSearch {
-	equal := slices.Repeat([]float64{1}, len(p.Ranks))
-	s := &reliefSearch{searchState: newSearchState(p, loads, equal), ReliefOptions: o, added: make([]int, len(p.Ranks))}
+	slowness := o.Slowness
+	if slowness == nil {
+		slowness = slices.Repeat([]float64{1}, len(p.Ranks))
+	}
+	s := &reliefSearch{searchState: newSearchState(p, loads, slowness), ReliefOptions: o, added: make([]int, len(p.Ranks)), addedBefore: make([]int, len(p.Ranks))}
 	s.potential = s.eighthPower
+	if o.InUse != nil {
+		for r, held := range p.Ranks {
+			s.addedBefore[r] = countMissing(held, o.InUse.Ranks[r])
+		}
+	}
+	if o.Slowness != nil {
+		s.mean = meanLoad(p.Times(loads, nil))
+	}
 	return s
 }
 
+// patience returns the number of consecutive changes without a better net saving after which the search ends. The time of a
+// slow rank may fall only with the last of its experts.
+func (s *reliefSearch) patience() int {
+	patience := max(minReliefPatience, len(s.Ranks)/ranksPerChange)
+	for r, held := range s.Ranks {
+		if s.slowness[r] > 1 {
+			patience += len(held)
+		}
+	}
+	return patience
+}
+
 // canAdd reports whether one more expert may be added to a rank.
 func (s *reliefSearch) canAdd(rank int) bool {
-	return s.added[rank] < s.MaxAdded && (s.MaxAddedByRank == nil || s.added[rank] < s.MaxAddedByRank[rank])
+	return s.addedBefore[rank]+s.added[rank] < s.MaxAdded && (s.MaxAddedByRank == nil || s.added[rank] < s.MaxAddedByRank[rank])
 }
 
 func (s *reliefSearch) maxTime() float64 {
@@ -92,6 +121,8 @@
 	from, expert int
 	// to is the rank that gets expert, or negative if from only drops its replica.
 	to int
+	// move means that from drops expert when to gets it.
+	move bool
 	// other is the expert that to gives up, or negative if to has a free place.
 	other int
 	// swap means that from gets other in exchange for expert; otherwise both ranks hold expert.
@@ -120,11 +151,13 @@
 	return x * x
 }
 
-// receivers returns the least loaded ranks.
+// receivers returns the least loaded ranks that are not very slow.
 func (s *reliefSearch) receivers() []int {
-	ranks := make([]int, len(s.times))
-	for r := range ranks {
-		ranks[r] = r
+	var ranks []int
+	for r := range s.times {
+		if !s.verySlow(r) {
+			ranks = append(ranks, r)
+		}
 	}
 	slices.SortFunc(ranks, func(a, b int) int { return cmp.Or(cmp.Compare(s.times[a], s.times[b]), a-b) })
 	return ranks[:min(len(ranks), maxReceivers)]
@@ -173,7 +206,7 @@
 		if s.replicas[other] > 1 {
 			s.considerCopy(best, from, expert, to, other)
 		}
-		if s.canAdd(from) && !slices.Contains(s.Ranks[from], other) {
+		if s.canAdd(from) && !s.verySlow(from) && !slices.Contains(s.Ranks[from], other) {
 			s.considerSwap(best, from, expert, to, other)
 		}
 	}
@@ -207,8 +240,10 @@
 			s.drop(c.to, c.other)
 		}
 		s.add(c.to, c.expert)
-		if c.swap {
+		if c.swap || c.move {
 			s.drop(c.from, c.expert)
+		}
+		if c.swap {
 			s.add(c.from, c.other)
 		}
 	}
--- a/internal/group/hold/attempt.go
+++ b/internal/group/hold/attempt.go
@@ -81,4 +81,6 @@
 	NoPendingRelease bool
 	// Guarding means that the engine holds by an order of this slot, and only a further order of it releases the engine.
 	Guarding bool
+	// Pace is as in Engine.
+	Pace float64
 }
--- a/internal/group/hold/core.go
+++ b/internal/group/hold/core.go
@@ -207,6 +207,7 @@
 		Ballot: c.following.Ballot, Phase: c.following.Phase, Refused: c.refused,
 		NoPendingRelease: c.noPendingRelease(now),
 		Guarding:         c.guardedStep != 0 && c.guardedStep == e.HeldStep && c.noPendingRelease(now),
+		Pace:             e.Pace,
 	}
 }
 
--- a/internal/group/hold/engine.go
+++ b/internal/group/hold/engine.go
@@ -21,6 +21,8 @@
 	HeldStep uint64
 	// StartUnixMilli is the start of the engine in Unix milliseconds.
 	StartUnixMilli int64
+	// Pace is the factor by which the engine is slower than usual, or zero if it is not known.
+	Pace float64
 }
 
 // OrderKind is the type of an order to an engine.
--- a/internal/group/load/load.go
+++ b/internal/group/load/load.go
@@ -90,6 +90,7 @@
 	decidedAt time.Time
 	// futile keeps the same search from being repeated at once.
 	futile futileSearch
+	paces  paces
 }
 
 type reportedExperts struct {
@@ -103,13 +104,19 @@
 	Map [][][]int
 	// Loaded is the number of experts that the ranks must load.
 	Loaded int
-	// StepTime and NextStepTime are the step times before and after the switch, relative to that of an evenly loaded group.
+	// StepTime and NextStepTime are the step times before and after the switch, relative to that of an evenly loaded group
+	// without slow ranks. Of a slow rank, they contain the time of its experts only: no map changes that of its own requests.
 	StepTime, NextStepTime float64
+	// Slow is the number of slow ranks.
+	Slow int
 }
 
 // NewPlanner returns a Planner without counts.
 func NewPlanner(e site.Experts) *Planner {
-	p := &Planner{Experts: e, loads: make([][]float64, e.Sets), recent: make([][]float64, e.Sets), rankExperts: map[int]reportedExperts{}}
+	p := &Planner{
+		Experts: e, loads: make([][]float64, e.Sets), recent: make([][]float64, e.Sets), rankExperts: map[int]reportedExperts{},
+		paces: paces{reported: map[int]reportedPace{}},
+	}
 	for s := range p.loads {
 		p.loads[s], p.recent[s] = make([]float64, e.Count), make([]float64, e.Count)
 	}
@@ -134,6 +141,9 @@
 // SwitchBegun records the version of the map under which a switch to the latest decision has begun.
 func (p *Planner) SwitchBegun(version uint64) {
 	p.decidedVersion = version
+	if hasEmptyRank(p.decidedMap) {
+		p.paces.emptyVersion = version
+	}
 }
 
 // Decay applies the exponential decay to older counts, or drops those of a set whose demand has shifted, and adds the
@@ -198,27 +208,32 @@
 	if maps == nil {
 		return d, false
 	}
+	p.paces.recordEmpty(epoch, version)
+	slowness := p.Slowness(now, epoch, size)
+	minimum := p.minLoad(slowness)
+	d.Slow = countSlow(slowness)
 	for _, loads := range p.loads {
-		if sum(loads) < minCounts*float64(p.Experts.Count) {
+		if sum(loads) < minimum {
 			return d, false
 		}
 	}
 	skew := 0.0
 	for s, m := range maps {
-		skew += balance.Skew(m.Times(p.loads[s], nil)) / float64(p.Sets)
+		skew += balance.SlowSkew(m, p.loads[s], slowness) / float64(p.Sets)
 	}
 	d.StepTime = p.relativeStepTime(skew)
 	if p.futile.covers(now, version, d.StepTime) {
 		return d, false
 	}
 	next := 0.0
-	for s, m := range p.improve(maps, size) {
-		next += balance.Skew(m.Times(p.loads[s], nil)) / float64(p.Sets)
+	better := p.improve(now, maps, size, slowness)
+	for s, m := range better {
+		next += balance.SlowSkew(m, p.loads[s], slowness) / float64(p.Sets)
 		d.Loaded += balance.Moves(maps[s], m)
 		d.Map = append(d.Map, m.Ranks)
 	}
 	d.NextStepTime = p.relativeStepTime(next)
-	if d.Loaded == 0 || (d.StepTime-d.NextStepTime)/d.StepTime < minGain {
+	if (d.Loaded == 0 || (d.StepTime-d.NextStepTime)/d.StepTime < minGain) && !vacates(&d, maps, better, slowness) {
 		p.futile = futileSearch{at: now, version: version, stepTime: d.StepTime}
 		return d, false
 	}
@@ -238,26 +253,41 @@
 	return f.version == version && now.Sub(f.at) < searchInterval && stepTime < f.stepTime*(1+searchGrowth)
 }
 
-// improve returns better maps. Every step waits for the busiest rank of each set, so each set may first load its share
-// of the experts of a switch. In a second round any set may use what remains.
-func (p *Planner) improve(maps []*balance.Placement, size int) []*balance.Placement {
+// improve returns better maps. Very slow ranks give up their experts first. Every step waits for the busiest rank of each set, so
+// each set may then load its share of the experts of a switch. In the last round any set may use what remains.
+func (p *Planner) improve(now time.Time, maps []*balance.Placement, size int, slowness []float64) []*balance.Placement {
 	better := slices.Clone(maps)
-	loads := p.rankLoads()
+	loads := max(p.rankLoads(), p.vacateLoads(maps, slowness))
 	remaining := slices.Repeat([]int{loads}, size)
+	for r := range remaining {
+		remaining[r] = max(loads, p.returnLoads(now, maps, r))
+	}
+	if slowness != nil {
+		p.improveSets(balance.Vacate, better, maps, remaining, 0, slowness)
+	}
 	for _, limit := range []int{max(1, loads*size/p.Sets), 0} {
-		for _, s := range p.bySkew(better) {
-			o := balance.ReliefOptions{
-				Capacity: p.Capacity, MaxAdded: p.MaxAdded, MaxAddedByRank: remaining,
-				MaxLoads: limit, MinReduction: p.requiredSkewReduction(),
-			}
-			m, _ := balance.Relieve(o, better[s], p.loads[s])
-			deductLoads(remaining, better[s], m)
-			better[s] = m
-		}
+		p.improveSets(balance.Relieve, better, maps, remaining, limit, slowness)
 	}
 	return better
 }
 
+// relief is a function that takes load off the busiest ranks of one set.
+type relief func(o balance.ReliefOptions, current *balance.Placement, loads []float64) (next *balance.Placement, loaded int)
+
+// improveSets applies a function to the maps of all sets, those with the largest skew first, and deducts the loads.
+func (p *Planner) improveSets(f relief, better, maps []*balance.Placement, remaining []int, limit int, slowness []float64) {
+	for _, s := range p.bySkew(better, slowness) {
+		o := balance.ReliefOptions{
+			Capacity: p.Capacity, MaxAdded: p.MaxAdded, InUse: maps[s], MaxAddedByRank: remaining,
+			MaxLoads: limit, MinReduction: p.requiredSkewReduction(),
+			Slowness: slowness, KeepOne: p.paces.emptyFailures >= maxEmptyFailures,
+		}
+		m, _ := f(o, better[s], p.loads[s])
+		deductLoads(remaining, better[s], m)
+		better[s] = m
+	}
+}
+
 // loadTime returns the time in which a rank loads one expert.
 func (p *Planner) loadTime() time.Duration {
 	if p.LoadTime > 0 {
@@ -272,11 +302,11 @@
 }
 
 // bySkew returns the sets in descending order of their skew.
-func (p *Planner) bySkew(maps []*balance.Placement) []int {
+func (p *Planner) bySkew(maps []*balance.Placement, slowness []float64) []int {
 	skews := make([]float64, p.Sets)
 	sets := make([]int, p.Sets)
 	for s, m := range maps {
-		skews[s], sets[s] = balance.Skew(m.Times(p.loads[s], nil)), s
+		skews[s], sets[s] = balance.SlowSkew(m, p.loads[s], slowness), s
 	}
 	slices.SortStableFunc(sets, func(a, b int) int { return cmp.Compare(skews[b], skews[a]) })
 	return sets
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -105,6 +105,8 @@
 	// it knows, plus one.
 	rankStates map[netip.AddrPort]hold.State
 	knownMaps  map[netip.AddrPort]uint64
+	// slowRanks holds the ranks that are slow, as far as this slot follows them.
+	slowRanks map[int]bool
 	// currentMap is the complete map in use; its Sets are nil while it is not known.
 	currentMap patch.Map
 	// unpatchedEpoch is the latest epoch in which a patch did not fit, so that its first map is not as assumed.
@@ -132,7 +134,7 @@
 	set := metrics.NewSet()
 	p := &Process{
 		Options: o, metricSet: set, metrics: newProcessMetrics(set), wake: make(chan struct{}, 1), core: hold.New(o.Now(), o.Incarnation),
-		rankStates: map[netip.AddrPort]hold.State{}, knownMaps: map[netip.AddrPort]uint64{}, attemptsSent: map[netip.AddrPort]throttle[attemptKey]{},
+		rankStates: map[netip.AddrPort]hold.State{}, knownMaps: map[netip.AddrPort]uint64{}, slowRanks: map[int]bool{}, attemptsSent: map[netip.AddrPort]throttle[attemptKey]{},
 		attemptBandwidth: rate.NewLimiter(rate.Limit(attemptLinkShare*linkRate(o.Settings)), attemptBurst),
 		mesh:             mesh.New(mesh.Peer{Address: o.Settings.Peers, Centre: o.Settings.Centre, Slot: true}, relaySilence, o.Settings.Seeds),
 		suspects:         suspect.NewTracker(),
@@ -239,13 +241,15 @@
 	orders, switches *metrics.Counter
 	// datagrams counts datagrams that were not sent, could not be decoded or were out of date.
 	datagrams *metrics.Counter
+	// paces counts how often a rank became slow, and of usual pace again.
+	paces *metrics.Counter
 	// orderTime is the duration of an order, also of one without an answer.
 	orderTime *metrics.Histogram
 }
 
 func newProcessMetrics(s *metrics.Set) *processMetrics {
 	return &processMetrics{
-		orders: s.Counter("orders"), switches: s.Counter("switches"), datagrams: s.Counter("datagrams"), orderTime: s.Histogram("order"),
+		orders: s.Counter("orders"), switches: s.Counter("switches"), datagrams: s.Counter("datagrams"), paces: s.Counter("paces"), orderTime: s.Histogram("order"),
 	}
 }
 
--- a/internal/process/sidecar/sidecar_convert.go
+++ b/internal/process/sidecar/sidecar_convert.go
@@ -10,6 +10,7 @@
 		Life: s.Incarnation, Group: s.Group, Epoch: s.Epoch, Rank: uint32(s.Rank), Size: uint32(s.Size), Open: s.Open, Step: s.Step, Map: s.MapVersion,
 		Prepared: s.Prepared, Armed: s.Armed, At: s.ArmedStep, Held: s.HeldStep, Clean: s.NoPendingOrders, Firm: s.NoPendingDisarm,
 		Attempt: s.Ballot.Number, Lead: s.Ballot.LeaderIncarnation, Phase: uint32(s.Phase), Refused: s.Refused, Steady: s.NoPendingRelease, Guards: s.Guarding,
+		Pace: float32(s.Pace),
 	}
 }
 
@@ -18,6 +19,7 @@
 		Incarnation: m.Life, Group: m.Group, Epoch: m.Epoch, Rank: int(m.Rank), Size: int(m.Size), Open: m.Open, Step: m.Step, MapVersion: m.Map,
 		Prepared: m.Prepared, Armed: m.Armed, ArmedStep: m.At, HeldStep: m.Held, NoPendingOrders: m.Clean, NoPendingDisarm: m.Firm,
 		Ballot: hold.Ballot{Number: m.Attempt, LeaderIncarnation: m.Lead}, Phase: hold.Phase(m.Phase), Refused: m.Refused, NoPendingRelease: m.Steady, Guarding: m.Guards,
+		Pace: float64(m.Pace),
 	}
 }
 
--- a/internal/process/sidecar/sidecar_engine.go
+++ b/internal/process/sidecar/sidecar_engine.go
@@ -63,6 +63,7 @@
 	defer p.mu.Unlock()
 	p.core.UpdateEngine(p.Now(), e)
 	p.updateCurrentMap(e)
+	p.recordPace(p.Now(), p.core.State(p.Now()))
 	p.logChanges()
 	return nil
 }
--- a/internal/process/sidecar/sidecar_peers.go
+++ b/internal/process/sidecar/sidecar_peers.go
@@ -46,6 +46,7 @@
 	before := p.core.State(now)
 	p.core.ReceiveState(now, s, p.decodePatched(n.Attempt))
 	p.logChanges()
+	p.recordPace(now, s)
 	p.recordCounts(s, n)
 	after := p.core.State(now)
 	if p.core.Busy() && (before.Ballot != after.Ballot || before.Phase != after.Phase || p.core.HasNextOrder(now)) {
@@ -105,7 +106,7 @@
 	if !ok {
 		return
 	}
-	p.Log.Info("balance", "loaded", d.Loaded, "skew", d.StepTime, "next", d.NextStepTime, "map", own.MapVersion, "step", own.Step)
+	p.Log.Info("balance", "loaded", d.Loaded, "skew", d.StepTime, "next", d.NextStepTime, "slow", d.Slow, "map", own.MapVersion, "step", own.Step)
 	if p.core.Begin(now, patch.Sort(d.Map)) {
 		p.planner.SwitchBegun(p.core.Published().Version)
 	}
--- a/internal/process/sidecar/sidecar_send.go
+++ b/internal/process/sidecar/sidecar_send.go
@@ -233,7 +233,7 @@
 	}
 	expertsDue := now.Sub(p.sentExperts) >= expertsInterval || p.rankExperts.MapVersion != p.sentExpertsMap
 	key := s
-	key.Step = 0
+	key.Step, key.Pace = 0, paceLevel(s.Pace)
 	interval := stateInterval
 	if p.core.Busy() {
 		interval = max(busyInterval/2, repeatInterval(s.Size)-busyInterval/2)
