Avoid slow targets and stalled groups at the entries

Cause: entries chose targets by their load alone. A rank that is twelve times slower got as many requests as the others and delayed every pass of its group by its own part, and new streams went to a group that had paused.

Change: a slot reads the ID of its engine once for each incarnation (GET of the service's healthPath, header Instance-Id; after a failure again after 2 s, not during a switch) and reports hash of the incarnation, group and pace to the relays of its data centre, each second and at once if the pace changes by much. Relays pass it on (internal/edge/group: what has changed for 0.5 s with each datagram, and all in turn in 5 s, at most 200 members a datagram), and the reading relay adds group and pace to the targets that it passes on, so members get changes only. A pace is dropped 3 s after the last report of its slot; groups hold for the incarnation; a list of the store takes nothing back.

Choose counts the load of a target with a pace of 1.25 or more times the pace, and leaves out those with 3 or more and those of stalled groups while another has room. Streams and ranks of stalled groups don't count for the seats while the service has others. A group is stalled if the entry has at least two streams there that have had an event and none has had one for three times Route.Gap, or if at least two wait for their first one for the goal in addition; until the next event, or 5 s after the last if no stream is left there. Log lines pace, stall, target identified; metrics paces, stalls; explain names slow ranks and stalls.

Ruled out: group and pace in the answers of targets, since a target that gets no requests would stay slow for ever; complete lists in one datagram, since 3,700 members fill it.

The test of a stalled group fails if the threshold is raised a thousandfold. TestManyEntriesDoNotHerd prints the same figures as before; with usual paces 3,000 random choices are those without any knowledge. Bytes a second at 3, 12, 72 and 3,700 slots: 17 of a slot to a relay, 0 (one data centre), 19, 87, 1,406 of a relay to another data centre's, 5.3 of the reading relay to a member at every size (TestBytesOfGroups).

--- a/internal/edge/target/choose.go
+++ b/internal/edge/target/choose.go
@@ -39,6 +39,8 @@
 	// Unknown is the number of requests of the service that the other entries are expected to have sent since the loads that
 	// they told.
 	Unknown float64
+	// Stalled holds the groups that get nothing while others have room; it may be nil.
+	Stalled map[uint32]bool
 }
 
 // allows reports whether a target may be chosen. One with a limit needs a permit, or must be worth asking for one.
@@ -70,6 +72,7 @@
 	if len(r.candidates) == 0 {
 		return nil
 	}
+	r.avoid(now, &c)
 	cheapest := slices.Index(r.costs, slices.Min(r.costs))
 	if r.candidates[cheapest].limit.Limited {
 		// Its permits are this entry's alone, so the others do not take the same place.
@@ -130,7 +133,7 @@
 
 // cost returns the cost of a target in requests: its load and penalties for distance, failures and being unreachable.
 func (m *Member) cost(now time.Time, centre string) float64 {
-	cost := float64(m.Running())
+	cost := m.effectiveLoad()
 	if m.Centre != centre {
 		cost += remoteCost
 	}
--- a/internal/edge/target/target.go
+++ b/internal/edge/target/target.go
@@ -28,6 +28,8 @@
 	failureShare float64
 	// updatedAt is the time of the latest result.
 	updatedAt time.Time
+	// slow is set if the target was slow when its pace was last set.
+	slow bool
 	// blockedUntil is the time until which the target is chosen only if there is no other.
 	blockedUntil time.Time
 	wish
@@ -64,6 +66,8 @@
 	outageEndedAt time.Time
 	// otherLoads holds the loads of the other entries by hash.
 	otherLoads map[uint32]int
+	// paceChanges holds the members that have become slow or of usual pace since the last call of TakePaceChanges.
+	paceChanges []Member
 	// candidates, costs and sorted are reused by each choice.
 	candidates    []*Member
 	costs, sorted []float64
@@ -105,6 +109,7 @@
 		}
 		listed[t.ID] = true
 		changes = append(changes, r.applyTarget(t)...)
+		r.SetRank(r.members[t.ID], t.Group, t.Pace)
 	}
 	for id, m := range r.members {
 		replaced := latest[m.Address] > m.Created
--- a/internal/fleet/site/configuration.go
+++ b/internal/fleet/site/configuration.go
@@ -67,6 +67,8 @@
 	Sequence time.Duration
 	// Stride is the number of token steps in a pass, after which each stream gets an event.
 	Stride int
+	// HealthPath is the path at which an engine of the service tells its ID, or empty.
+	HealthPath string
 	// Experts describes the experts of the service's groups.
 	Experts Experts
 }
@@ -116,6 +118,10 @@
 	Width int
 	// Leaving is set if the target takes no new requests.
 	Leaving bool
+	// Group is a hash of the name of the group of which the target is a rank, or zero if none is known. It is not in the store.
+	Group uint32
+	// Pace is the factor by which the target is slower than usual, or zero if it is not known. It is not in the store.
+	Pace float64
 }
 
 // Index builds the index of routes that Match uses.
--- a/internal/group/load/pace.go
+++ b/internal/group/load/pace.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	// SlowPace is the pace from which a rank counts as slow: the paces of engines without a fault vary by about a tenth.
-	SlowPace = 1.25
 	// paceLifetime is the time for which the last report of a pace counts.
 	paceLifetime = 3 * time.Second
 	// maxVacateTime is the time for which a rank may load experts of very slow ranks in one switch. One rank of 12 that is twelve
@@ -55,7 +53,7 @@
 	slowness := slices.Repeat([]float64{1}, size)
 	for r := range slowness {
 		v, ok := p.paces.reported[r]
-		if ok && v.epoch == epoch && v.pace >= SlowPace && now.Sub(v.at) <= paceLifetime {
+		if ok && v.epoch == epoch && v.pace >= hold.SlowPace && now.Sub(v.at) <= paceLifetime {
 			slowness[r] = v.pace
 		}
 	}
--- a/internal/operator/commands/platform.go
+++ b/internal/operator/commands/platform.go
@@ -132,7 +132,7 @@
 	engine := platform.NewEngine(s.Engine)
 	p := sidecar.New(sidecar.Options{
 		Settings:      s,
-		Engine:        sidecar.Engine{Report: engine.Report, Counts: engine.Counts, Experts: engine.Experts, Order: engine.Order},
+		Engine:        sidecar.Engine{Report: engine.Report, Counts: engine.Counts, Experts: engine.Experts, Order: engine.Order, ID: engine.ID},
 		Configuration: platform.NewStore(s.Store).StaleConfiguration,
 		Log:           file.log, Incarnation: rand.Uint64(), Now: time.Now,
 	})
--- a/internal/operator/trace/cause.go
+++ b/internal/operator/trace/cause.go
@@ -60,7 +60,7 @@
 	if strings.HasPrefix(end.Get("outcome"), "status=") && end.Get("sends") == "0" && reason != "no seat" {
 		return causes
 	}
-	return append(causes, t.explainSlowSteps()...)
+	return append(append(causes, t.explainSlowSteps()...), t.explainPaces()...)
 }
 
 // describeOutcome returns a sentence on how the request ended.
@@ -193,11 +193,11 @@
 
 // explainSlowSteps explains what made the steps of the group slow.
 func (t *Trace) explainSlowSteps() (causes []string) {
-	worstSkew, at := 0.0, time.Time{}
+	worstSkew, at, cause := 0.0, time.Time{}, ""
 	for _, l := range t.States {
 		skew, err := strconv.ParseFloat(l.Get("skew"), 64)
 		if l.Message == "balance" && err == nil && skew > worstSkew {
-			worstSkew, at = skew, l.Time
+			worstSkew, at, cause = skew, l.Time, slowReason(l)
 		}
 		if l.Message == "switch" && (l.Get("event") == "abort" || l.Get("event") == "settle") {
 			causes = append(causes, fmt.Sprintf("A switch of expert maps was given up at %s (%s); the group was paused until its ranks were released.", formatClock(l.Time), reasonOrDefault(l.Get("reason"))))
@@ -208,7 +208,7 @@
 		}
 	}
 	if worstSkew >= skewThreshold {
-		causes = append(causes, fmt.Sprintf("Steps took %.1f times those of an evenly loaded group at %s: demand for experts had shifted.", worstSkew, formatClock(at)))
+		causes = append(causes, fmt.Sprintf("Steps took %.1f times those of an evenly loaded group at %s: %s.", worstSkew, formatClock(at), cause))
 	}
 	return causes
 }
--- a/internal/operator/trace/trace.go
+++ b/internal/operator/trace/trace.go
@@ -145,7 +145,7 @@
 		return p.instances[l.Instance] && (p.targets[target] || p.targets[l.Get("address")])
 	}
 	switch l.Message {
-	case "balance", "engine lost", "engine regained":
+	case "balance", "pace", "engine lost", "engine regained":
 		return true
 	case "switch":
 		return !strings.HasPrefix(l.Get("event"), "order")
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -131,6 +131,7 @@
 	// exclusive holds the fingerprints of suspected requests in progress.
 	exclusive map[uint64]bool
 	limits
+	groups
 }
 
 // New returns a Process; Run starts it.
@@ -140,7 +141,7 @@
 		Options: o, metricSet: set, metrics: newProcessMetrics(set), transport: newTransport(), started: o.Now(), incarnation: o.Random.Uint64(),
 		registry: target.NewRegistry(), peers: newPeers(&o), targetsAt: -1, storeNews: make(chan struct{}, 1),
 		budgets: map[string]*budget.Budget{}, estimators: map[string]*seat.Estimator{}, queues: map[string]*seat.Queue{}, arrivals: map[string]*target.Arrivals{}, reservedSeats: map[string]int{},
-		suspects: suspect.NewTracker(), exclusive: map[uint64]bool{}, limits: newLimits(),
+		suspects: suspect.NewTracker(), exclusive: map[uint64]bool{}, limits: newLimits(), groups: newGroups(),
 	}
 	p.confirmedAt.Store(-1)
 	now, _ := o.Boot.Now()
@@ -255,6 +256,7 @@
 func (p *Process) tick() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.updateStalls(p.Now())
 	for service, queue := range p.queues {
 		if queue.Waiting() > 0 {
 			p.admitWaiting(service, queue)
--- a/internal/process/gateway/gateway_attempt.go
+++ b/internal/process/gateway/gateway_attempt.go
@@ -181,6 +181,7 @@
 				"outcome", result, "reason", reason, "took", p.Now().Sub(began), "running", running, "wait", v.statement.Wait, "leaving", v.statement.Leaving, "events", v.events, "parts", formatParts(v.Parts))
 		}
 	}()
+	defer v.beginStream(m)()
 	ctx, cancel := context.WithDeadlineCause(v.caller.Context(), v.deadline, context.DeadlineExceeded)
 	defer cancel()
 	ctx, stop := context.WithCancelCause(ctx)
--- a/internal/process/gateway/gateway_follow.go
+++ b/internal/process/gateway/gateway_follow.go
@@ -317,5 +317,6 @@
 		p.applyChange(now, c)
 		p.Log.Info("target "+c.Event, "target", c.ID, "service", c.Service, "address", c.Address, "centre", c.Centre, "own", c.Own)
 	}
+	p.applyGroups()
 	p.resolveRuns(now, readAt)
 }
--- a/internal/process/gateway/gateway_member.go
+++ b/internal/process/gateway/gateway_member.go
@@ -57,6 +57,7 @@
 func (p *Process) receiveRelay(now time.Time, peer *mesh.Peer, n *message.News) {
 	if peer.Centre != p.settings.Load().Centre {
 		peer.Loads = n.Relay.Loads.Decode()
+		p.learnMembers(now, n.Relay.Members)
 		return
 	}
 	if n.Answer == nil {
--- a/internal/process/gateway/gateway_peers.go
+++ b/internal/process/gateway/gateway_peers.go
@@ -68,6 +68,7 @@
 		now := p.Now()
 		if paused {
 			p.mesh.Unsettle(now)
+			p.stalls.Resume(now)
 		}
 		for _, lost := range p.mesh.Expire(now) {
 			p.Log.Info("peer lost", "peer", lost.Name, "address", lost.Address, "age", now.Sub(lost.LastSeen))
@@ -77,6 +78,7 @@
 			p.wakeStore()
 		}
 		p.entries = len(p.mesh.View(now).Entries())
+		p.followGroups(now)
 		p.expireMirrors(now)
 		p.forgetMembers()
 		if p.reportDue(now) {
--- a/internal/process/gateway/gateway_relay.go
+++ b/internal/process/gateway/gateway_relay.go
@@ -100,6 +100,7 @@
 	if n.Report == nil {
 		return
 	}
+	p.learnMember(now, n)
 	view := p.mesh.View(now)
 	digest := view.Digest()
 	reply := p.newDatagram()
@@ -177,6 +178,7 @@
 	centre := mesh.View{view.Centre(p.settings.Load().Centre)}
 	digest := centre.Digest()
 	n.Relay = &message.Relay{Settled: p.mesh.Settled(now), View: digest, Loads: message.EncodeLoads(p.centreLoads())}
+	n.Relay.Members, n.Relay.Whole = p.nextMembers(now)
 	to := p.mesh.OtherRelays(now)
 	if digest != p.sentView || now.Sub(p.viewSentAt) >= centreViewInterval {
 		p.viewSentAt, p.sentView = now, digest
@@ -238,7 +240,7 @@
 func (p *Process) updateFeed(targets map[string]site.Target, readAt time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	changed := p.feed.Update(targets) || p.version() != p.sentVersion
+	changed := p.feedTargets(targets) || p.version() != p.sentVersion
 	p.readAt = readAt
 	if changed && p.mesh.IsRelay() {
 		p.relay(p.Now())
--- a/internal/process/gateway/gateway_run.go
+++ b/internal/process/gateway/gateway_run.go
@@ -105,9 +105,8 @@
 
 // occupancy returns the number of streams in progress at a service and its number of seats; mu is held.
 func (p *Process) occupancy(s *site.Service, gap time.Duration) (running, seats int) {
-	ranks := p.registry.Available(s.Name)
-	running = p.registry.Running(s.Name) + p.reservedSeats[s.Name]
-	return running, min(p.estimator(s.Name).Seats(p.Now(), s, gap, ranks), p.registry.Width(s.Name))
+	running, ranks, width := p.registry.Occupancy(s.Name, p.stalls.Stalled())
+	return running + p.reservedSeats[s.Name], min(p.estimator(s.Name).Seats(p.Now(), s, gap, ranks), width)
 }
 
 // acquireSeat waits for a seat and reports whether the request got one. If not, the request has ended.
@@ -204,7 +203,7 @@
 	if v.rejection = v.checkSuspect(now, verdict, by); v.rejection.status != 0 {
 		return nil, false
 	}
-	choice := target.Choice{Service: v.service.Name, Centre: p.settings.Load().Centre, Tried: v.tried, Priority: v.priority, MayAsk: mayAsk, Unknown: p.unknownRequests(now, v.service.Name)}
+	choice := target.Choice{Service: v.service.Name, Centre: p.settings.Load().Centre, Tried: v.tried, Priority: v.priority, MayAsk: mayAsk, Unknown: p.unknownRequests(now, v.service.Name), Stalled: p.stalls.Stalled()}
 	if verdict == suspect.Suspected {
 		v.beginExclusive(by)
 		m = p.registry.ChooseFixed(now, choice, by[0], func(hash uint32) bool { return p.suspects.HasLost(now, by[0], hash) })
--- a/internal/process/gateway/gateway_serve.go
+++ b/internal/process/gateway/gateway_serve.go
@@ -61,6 +61,8 @@
 	// events counts the events of the latest attempt, and heardAt is when it began or the last event arrived.
 	events  int
 	heardAt time.Time
+	// group is that of the latest attempt's target, or zero if it is not known.
+	group uint32
 	// statement is what the target of the latest attempt said about itself.
 	statement call.Statement
 	// framed is set if the end of the latest answer can be told from the loss of its connection.
--- a/internal/process/gateway/gateway_stream.go
+++ b/internal/process/gateway/gateway_stream.go
@@ -61,6 +61,7 @@
 			s.flush()
 			s.observeGap()
 			s.noteEvent()
+			s.noteGroupEvent()
 		}
 		switch {
 		case s.splitter.TooLong():
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -58,6 +58,8 @@
 	Experts func(ctx context.Context) (hold.RankExperts, error)
 	// Order sends an order to the engine. After an error, the outcome is unknown.
 	Order func(ctx context.Context, o *hold.Order) (refused bool, err error)
+	// ID reads the ID of the target at the health path of its service.
+	ID func(ctx context.Context, healthPath string) (string, error)
 }
 
 // Options are the inputs of New.
@@ -94,6 +96,7 @@
 	// tally turns the engine's running totals into increments for the leader.
 	tally    load.Tally
 	sequence uint64
+	identity identity
 	// suspects holds the lost runs that entries have reported, for entries that start when no other entry runs.
 	suspects *suspect.Tracker
 	// expertConfig describes the group's experts; nil until the configuration was read.
@@ -226,6 +229,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.identity.healthPath = service.HealthPath
 	if p.expertConfig != nil && *p.expertConfig == service.Experts {
 		return
 	}
--- a/internal/process/sidecar/sidecar_engine.go
+++ b/internal/process/sidecar/sidecar_engine.go
@@ -27,6 +27,7 @@
 		}
 		if now := p.Now(); reachable && now.Sub(lastCount) >= countInterval {
 			lastCount = now
+			p.identify(ctx)
 			p.readCounts(ctx)
 			p.planSwitch(now)
 		}
@@ -63,6 +64,7 @@
 	defer p.mu.Unlock()
 	p.core.UpdateEngine(p.Now(), e)
 	p.updateCurrentMap(e)
+	p.identity.engine = e
 	p.recordPace(p.Now(), p.core.State(p.Now()))
 	p.logChanges()
 	return nil
--- a/internal/process/sidecar/sidecar_pace.go
+++ b/internal/process/sidecar/sidecar_pace.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/group/hold"
-	"github.com/dragonflydeal/dragonflydeal/internal/group/load"
 )
 
 // paceStep is the factor by which the pace of a slow engine must change for the leader to be told at once. Paces vary with each
@@ -14,7 +13,7 @@
 
 // paceLevel returns a number that changes if a pace changes by much: zero unless the engine is slow.
 func paceLevel(pace float64) float64 {
-	if pace < load.SlowPace {
+	if pace < hold.SlowPace {
 		return 0
 	}
 	return 1 + math.Round(math.Log(pace)/math.Log(paceStep))
@@ -30,7 +29,7 @@
 	if p.planner != nil {
 		p.planner.SetPace(now, s.Rank, s.Epoch, s.Pace)
 	}
-	slow := s.Pace >= load.SlowPace
+	slow := s.Pace >= hold.SlowPace
 	if slow == p.slowRanks[s.Rank] {
 		return
 	}
--- a/internal/process/sidecar/sidecar_send.go
+++ b/internal/process/sidecar/sidecar_send.go
@@ -114,12 +114,12 @@
 	if !heard {
 		interval = firstReportInterval
 	}
-	if now.Sub(p.reportedAt) < interval {
+	if now.Sub(p.reportedAt) < interval && !p.identity.changed() {
 		return
 	}
 	p.reportedAt = now
 	n := p.newDatagram()
-	n.Report = &message.Report{View: p.mesh.KnownDigest()}
+	n.Report = &message.Report{View: p.mesh.KnownDigest(), Member: p.identity.report()}
 	to := p.mesh.Relays(now)
 	if !heard {
 		to = append(to, p.mesh.Seeds()...)
--- a/internal/wire/message/convert_relay.go
+++ b/internal/wire/message/convert_relay.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/netip"
 
+	"github.com/dragonflydeal/dragonflydeal/internal/edge/group"
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/inventory"
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/mesh"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/site"
@@ -85,6 +86,7 @@
 		out = append(out, &Target{
 			Id: r.ID, Start: t.StartUnixMilli, Service: t.Service, Address: encodeAddress(t.Address.Addr()), Port: uint32(t.Address.Port()),
 			Centre: t.Centre, Width: uint32(max(t.Width, 0)), Leaving: t.Leaving, Created: t.Created,
+			Group: t.Group, Pace: float32(t.Pace),
 		})
 	}
 	return out
@@ -99,6 +101,7 @@
 			r.Target = &site.Target{
 				ID: t.Id, StartUnixMilli: t.Start, Service: t.Service, Centre: t.Centre, Width: int(t.Width), Leaving: t.Leaving, Created: t.Created,
 				Address: netip.AddrPortFrom(decodeAddress(t.Address), uint16(min(t.Port, math.MaxUint16))),
+				Group:   t.Group, Pace: group.ClampPace(float64(t.Pace)),
 			}
 		}
 		page.Records = append(page.Records, r)
