--- /dev/null
+++ b/internal/edge/target/pace.go
@@ -0,0 +1,131 @@
+package target
+
+import (
+	"time"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/group/hold"
+)
+
+// SetRank records the group of a target and how slow it is. What is known stays if the group is zero.
+func (r *Registry) SetRank(m *Member, group uint32, pace float64) {
+	if group == 0 {
+		return
+	}
+	changed := m.Group != group || (m.Pace >= hold.VerySlowPace) != (pace >= hold.VerySlowPace)
+	m.Group, m.Pace = group, pace
+	if changed {
+		r.findSlowGroups()
+	}
+	if slow := pace >= hold.SlowPace; slow != m.slow {
+		m.slow = slow
+		r.paceChanges = append(r.paceChanges, *m)
+	}
+}
+
+// findSlowGroups finds the groups with a very slow target.
+func (r *Registry) findSlowGroups() {
+	clear(r.slowGroups)
+	for _, m := range r.members {
+		if m.Group != 0 && m.Pace >= hold.VerySlowPace {
+			r.slowGroups[m.Group] = true
+		}
+	}
+}
+
+// Slow reports whether the target is slow.
+func (m *Member) Slow() bool {
+	return m.slow
+}
+
+// TakePaceChanges returns the members that have become slow or of usual pace since the last call, and clears them.
+func (r *Registry) TakePaceChanges() []Member {
+	changes := r.paceChanges
+	r.paceChanges = nil
+	return changes
+}
+
+// All returns the members by ID. The map must not be changed.
+func (r *Registry) All() map[string]*Member {
+	return r.members
+}
+
+// effectiveLoad returns the load of a target in requests of a target of usual pace. For a slow one it contains the request to
+// be placed, so that a slow target without load is no better than one of usual pace with some.
+func (m *Member) effectiveLoad() float64 {
+	load := float64(m.Running())
+	if m.Pace < hold.SlowPace {
+		return load
+	}
+	return (load+1)*m.Pace - 1
+}
+
+// avoid leaves out the candidates of groups that are stalled or have a very slow target, if another candidate has room, or else
+// at least those that are stalled or very slow themselves.
+func (r *Registry) avoid(now time.Time, c *Choice) {
+	if len(r.slowGroups) == 0 || !r.leaveOut(now, func(m *Member) bool { return r.delayed(m, c.Stalled) }) {
+		r.leaveOut(now, func(m *Member) bool { return m.Pace >= hold.VerySlowPace || c.Stalled[m.Group] })
+	}
+}
+
+// leaveOut leaves out the candidates that avoided reports and those without room, if one remains, and reports whether it did.
+func (r *Registry) leaveOut(now time.Time, avoided func(m *Member) bool) bool {
+	found, room := false, false
+	for _, m := range r.candidates {
+		a := avoided(m)
+		found = found || a
+		room = room || !a && m.hasRoom(now)
+	}
+	if !found || !room {
+		return false
+	}
+	n := 0
+	for i, m := range r.candidates {
+		if !avoided(m) && m.hasRoom(now) {
+			r.candidates[n], r.costs[n] = m, r.costs[i]
+			n++
+		}
+	}
+	r.candidates, r.costs = r.candidates[:n], r.costs[:n]
+	return true
+}
+
+// delayed reports whether the group of a target is stalled, or waits in each step for a very slow target.
+func (r *Registry) delayed(m *Member, stalled map[uint32]bool) bool {
+	return stalled[m.Group] || r.slowGroups[m.Group]
+}
+
+// hasRoom reports whether the target can run one more request at once.
+func (m *Member) hasRoom(now time.Time) bool {
+	return m.Running() < m.Width && !now.Before(m.blockedUntil)
+}
+
+// Occupancy returns the number of requests in progress at a service, and the number of its targets that accept new ones and how
+// many requests these run at once. Groups that are stalled or very slow are left out if there are other targets: their requests
+// hold no seat of those.
+func (r *Registry) Occupancy(service string, stalled map[uint32]bool) (running, available, width int) {
+	if len(stalled) > 0 || len(r.slowGroups) > 0 {
+		running, available, width = r.occupancy(service, func(m *Member) bool { return r.delayed(m, stalled) })
+	}
+	if available == 0 && len(stalled) > 0 {
+		running, available, width = r.occupancy(service, func(m *Member) bool { return stalled[m.Group] })
+	}
+	if available == 0 {
+		running, available, width = r.occupancy(service, func(*Member) bool { return false })
+	}
+	return running, available, width
+}
+
+// occupancy is Occupancy without the members that leftOut reports.
+func (r *Registry) occupancy(service string, leftOut func(m *Member) bool) (running, available, width int) {
+	for _, m := range r.services[service] {
+		if leftOut(m) {
+			continue
+		}
+		running += m.Running()
+		if !m.Leaving {
+			available++
+			width += m.Width
+		}
+	}
+	return running, available, width
+}
--- a/internal/edge/target/target.go
+++ b/internal/edge/target/target.go
@@ -28,6 +28,8 @@
 	failureShare float64
 	// updatedAt is the time of the latest result.
 	updatedAt time.Time
+	// slow is set if the target was slow when its pace was last set.
+	slow bool
 	// blockedUntil is the time until which the target is chosen only if there is no other.
 	blockedUntil time.Time
 	wish
@@ -66,6 +68,10 @@
 	outageEndedAt time.Time
 	// otherLoads holds the loads of the other entries by hash.
 	otherLoads map[uint32]int
+	// slowGroups holds the groups with a very slow target.
+	slowGroups map[uint32]bool
+	// paceChanges holds the members that have become slow or of usual pace since the last call of TakePaceChanges.
+	paceChanges []Member
 	// candidates, costs and sorted are reused by each choice.
 	candidates    []*Member
 	costs, sorted []float64
@@ -73,7 +79,7 @@
 
 // NewRegistry returns an empty Registry.
 func NewRegistry() *Registry {
-	return &Registry{members: map[string]*Member{}, services: map[string][]*Member{}, hashes: map[uint32]*Member{}, wishes: map[uint32]wish{}, reach: map[string]*centreReach{}, otherLoads: map[uint32]int{}}
+	return &Registry{members: map[string]*Member{}, services: map[string][]*Member{}, hashes: map[uint32]*Member{}, wishes: map[uint32]wish{}, reach: map[string]*centreReach{}, slowGroups: map[uint32]bool{}, otherLoads: map[uint32]int{}}
 }
 
 // Hash returns a 32-bit identifier of an incarnation.
@@ -107,6 +113,7 @@
 		}
 		listed[t.ID] = true
 		changes = append(changes, r.applyTarget(t)...)
+		r.SetRank(r.members[t.ID], t.Group, t.Pace)
 	}
 	for id, m := range r.members {
 		replaced := latest[m.Address] > m.Created
@@ -159,6 +166,7 @@
 func (r *Registry) index() {
 	clear(r.services)
 	clear(r.hashes)
+	r.findSlowGroups()
 	for _, id := range slices.Sorted(maps.Keys(r.members)) {
 		m := r.members[id]
 		r.services[m.Service] = append(r.services[m.Service], m)
--- a/internal/process/sidecar/sidecar_send.go
+++ b/internal/process/sidecar/sidecar_send.go
@@ -114,12 +114,12 @@
 	if !heard {
 		interval = firstReportInterval
 	}
-	if now.Sub(p.reportedAt) < interval {
+	if now.Sub(p.reportedAt) < interval && !p.identity.changed() {
 		return
 	}
 	p.reportedAt = now
 	n := p.newDatagram()
-	n.Report = &message.Report{View: p.mesh.KnownDigest()}
+	n.Report = &message.Report{View: p.mesh.KnownDigest(), Member: p.identity.report()}
 	to := p.mesh.Relays(now)
 	if !heard {
 		to = append(to, p.mesh.Seeds()...)
@@ -233,7 +233,7 @@
 	}
 	expertsDue := now.Sub(p.sentExperts) >= expertsInterval || p.rankExperts.MapVersion != p.sentExpertsMap
 	key := s
-	key.Step = 0
+	key.Step, key.Pace = 0, paceLevel(s.Pace)
 	interval := stateInterval
 	if p.core.Busy() {
 		interval = max(busyInterval/2, repeatInterval(s.Size)-busyInterval/2)
