--- a/internal/edge/inventory/inventory.go
+++ b/internal/edge/inventory/inventory.go
@@ -9,8 +9,10 @@
 )
 
 const (
-	// maxPage is the largest number of records in a Page, which must fit into a datagram.
-	maxPage = 200
+	// maxPage is the largest number of records in a Page, and maxPageBytes that of bytes, so that it fits into a datagram. A record takes
+	// its names and at most recordBytes.
+	maxPage, maxPageBytes = 200, 28 << 10
+	recordBytes           = 64
 	// maxRemoved is the number of removed records from which they are dropped.
 	maxRemoved = 1024
 )
@@ -109,16 +111,27 @@
 	}
 	slices.SortFunc(changes, func(a, b change) int { return cmp.Compare(a.sequence, b.sequence) })
 	page.Through = f.sequence
-	if len(changes) > maxPage {
-		changes = changes[:maxPage]
-		page.Through = changes[maxPage-1].sequence
-	}
-	for _, c := range changes {
+	size := 0
+	for i, c := range changes {
+		size += recordSize(c.TargetRecord)
+		if i == maxPage || i > 0 && size > maxPageBytes {
+			page.Through = changes[i-1].sequence
+			break
+		}
 		page.Records = append(page.Records, c.TargetRecord)
 	}
 	return page
 }
 
+// recordSize returns the largest number of bytes that a record takes in a datagram.
+func recordSize(r site.TargetRecord) int {
+	size := recordBytes + len(r.ID)
+	if r.Target != nil {
+		size += len(r.Target.Service) + len(r.Target.Centre)
+	}
+	return size
+}
+
 // Mirror is a copy of the Feed of a relay. The zero value is empty. It is not safe for concurrent use.
 type Mirror struct {
 	// Sequence is the number of the latest change that is known.
--- a/internal/edge/inventory/inventory_test.go
+++ b/internal/edge/inventory/inventory_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -63,6 +64,24 @@
 	is.Equal(len(m.Targets()), len(targets))
 }
 
+// TestPagesOfLongNamesAreBounded passes on targets with the longest names that records may have. A datagram with too many of them
+// is not sent, so that the members would learn of no change any more.
+func TestPagesOfLongNamesAreBounded(t *testing.T) {
+	is := is.New(t)
+	const longest = 256
+	f, targets := NewFeed(), map[string]site.Target{}
+	name := strings.Repeat("x", longest-4)
+	for i := range 2 * maxPage {
+		id := fmt.Sprintf("%s%04d", name, i)
+		targets[id] = site.Target{ID: id, Service: id, Centre: id}
+	}
+	f.Update(targets)
+	is.True(len(f.After(0).Records)*(3*longest+recordBytes) <= maxPageBytes)
+	var m Mirror
+	catchUp(f, &m)
+	is.Equal(len(m.Targets()), len(targets))
+}
+
 // TestFeedForgetsRemovedTargets has many targets come and go. A mirror that knew one of them starts anew.
 func TestFeedForgetsRemovedTargets(t *testing.T) {
 	is := is.New(t)
--- a/internal/edge/target/choose.go
+++ b/internal/edge/target/choose.go
@@ -44,7 +44,7 @@
 // allows reports whether a target may be chosen. One with a limit needs a permit, or must be worth asking for one.
 func (c *Choice) allows(now time.Time, m *Member) bool {
 	switch {
-	case m.Leaving || c.Tried[m.ID] || now.Before(m.restsUntil):
+	case m.Leaving || m.evacuated || c.Tried[m.ID] || now.Before(m.restsUntil):
 		return false
 	case !m.limit.Limited || m.HasPermit(now):
 		return true
--- a/internal/edge/target/limit.go
+++ b/internal/edge/target/limit.go
@@ -62,7 +62,7 @@
 // out for their limits, and the sum of these limits in requests a second. The time is zero if there is no such target.
 func (r *Registry) NextPermit(now time.Time, c Choice) (at time.Time, rate float64) {
 	for _, m := range r.services[c.Service] {
-		if m.Leaving || !m.limit.Limited {
+		if m.Leaving || m.evacuated || !m.limit.Limited {
 			continue
 		}
 		rate += m.limit.Rate
--- a/internal/edge/target/rest.go
+++ b/internal/edge/target/rest.go
@@ -50,7 +50,7 @@
 // or zero if there is none.
 func (r *Registry) NextRested(now time.Time, c Choice) (at time.Time) {
 	for _, m := range r.services[c.Service] {
-		if m.Leaving || !now.Before(m.restsUntil) {
+		if m.Leaving || m.evacuated || !now.Before(m.restsUntil) {
 			continue
 		}
 		if at.IsZero() || m.restsUntil.Before(at) {
--- a/internal/edge/target/target.go
+++ b/internal/edge/target/target.go
@@ -31,6 +31,8 @@
 	// blockedUntil is the time until which the target is chosen only if there is no other.
 	blockedUntil time.Time
 	wish
+	// evacuated is set while the data centre is evacuated.
+	evacuated bool
 	// limit is the latest known limit. While the target has one, each request needs one of the permits.
 	limit Limit
 	limit.Holder
@@ -43,8 +45,8 @@
 
 // Change is a change of a target in a new list.
 type Change struct {
-	// Event is joined, leaving, gone, or kept if a leaving target stays after all. A target that restarts under the same
-	// ID is gone and joins.
+	// Event is joined, leaving, gone, kept if a leaving target stays after all, or moved if its record names another data centre or
+	// service. A target that restarts under the same ID is gone and joins.
 	Event string
 	Member
 }
@@ -58,6 +60,8 @@
 	hashes   map[uint32]*Member
 	// wishes holds what targets have said about the requests that they want, by Hash.
 	wishes map[uint32]wish
+	// evacuated holds the evacuated data centres by name, which need not have targets.
+	evacuated map[string]bool
 	// storeFailing is set if the latest read of the store failed.
 	storeFailing bool
 	// outageEndedAt is the end of the latest outage of the store.
@@ -141,8 +145,12 @@
 		m = &Member{Target: t, Hash: Hash(&t)}
 		m.Others, m.wish = r.otherLoads[m.Hash], r.wishes[m.Hash]
 		m.Leaving = m.Leaving || m.saidLeaving
+		m.evacuated = r.evacuated[m.Centre]
 		r.members[t.ID] = m
 		return append(changes, Change{Event: "joined", Member: *m})
+	case m.Centre != t.Centre || m.Service != t.Service:
+		r.relocate(m, t)
+		return []Change{{Event: "moved", Member: *m}}
 	case !m.Leaving && t.Leaving:
 		m.Leaving = true
 		return []Change{{Event: "leaving", Member: *m}}
@@ -222,7 +230,7 @@
 // Width returns the number of requests that the targets of a service run at once, without those that accept no new ones.
 func (r *Registry) Width(service string) (n int) {
 	for _, m := range r.services[service] {
-		if !m.Leaving {
+		if !m.Leaving && !m.evacuated {
 			n += m.Width
 		}
 	}
@@ -232,7 +240,7 @@
 // Available returns the number of targets of a service that accept new requests.
 func (r *Registry) Available(service string) (n int) {
 	for _, m := range r.services[service] {
-		if !m.Leaving {
+		if !m.Leaving && !m.evacuated {
 			n++
 		}
 	}
--- a/internal/fleet/site/settings.go
+++ b/internal/fleet/site/settings.go
@@ -50,6 +50,9 @@
 	Grace time.Duration
 	// Revoke is the time within which a removed API key must stop working; zero means no limit.
 	Revoke time.Duration
+	// Evacuation is the time from the evacuation of a data centre after which its targets get nothing; zero if data centres are not
+	// evacuated.
+	Evacuation time.Duration
 	// Retries bounds the retries of all entries together.
 	Retries RetryBound
 	// Memory is the memory limit of the process in bytes.
--- a/internal/operator/commands/platform.go
+++ b/internal/operator/commands/platform.go
@@ -113,7 +113,7 @@
 			DecodeCall: platform.DecodeCall, NewRequest: platform.NewRequest, DecodeAnswer: platform.DecodeAnswer, SetAttemptID: platform.SetAttemptID,
 		},
 		Store: gateway.Store{
-			Configuration: store.Configuration, StaleConfiguration: store.StaleConfiguration, Changes: store.Changes, Targets: store.Targets, Close: store.Close,
+			Configuration: store.Configuration, StaleConfiguration: store.StaleConfiguration, Changes: store.Changes, Targets: store.Targets, Evacuations: store.Evacuations, Close: store.Close,
 		},
 		Log: file.log, Random: newRandom(), Now: time.Now, Boot: boot,
 	})
--- a/internal/operator/trace/cause.go
+++ b/internal/operator/trace/cause.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -52,6 +53,8 @@
 		causes = append(causes, t.explainLimits()...)
 	case strings.HasPrefix(reason, "the targets have asked for rest"):
 		causes = append(causes, t.explainRests()...)
+	case strings.HasPrefix(reason, "all data centres with targets"):
+		causes = append(causes, t.explainEvacuation()...)
 	case strings.HasPrefix(reason, "no target"):
 		causes = append(causes, t.explainMissingTargets()...)
 	}
@@ -123,6 +126,22 @@
 	return causes
 }
 
+// explainEvacuation explains a refusal because all data centres with targets of a service were evacuated.
+func (t *Trace) explainEvacuation() (causes []string) {
+	for _, l := range t.Lines {
+		if l.Message != "service evacuated" {
+			continue
+		}
+		causes = append(causes, fmt.Sprintf("Operators had evacuated all data centres with targets of service %s: %s.", l.Get("service"), l.Get("centres")))
+		for _, s := range t.States {
+			if s.Message == "centre evacuated" && s.Instance == l.Instance && slices.Contains(strings.Split(l.Get("centres"), ","), s.Get("centre")) {
+				causes = append(causes, fmt.Sprintf("Data centre %s was evacuated at %s.", s.Get("centre"), formatClock(s.Time)))
+			}
+		}
+	}
+	return causes
+}
+
 // explainRefusal explains why a target refused the request.
 func (t *Trace) explainRefusal(end Line) []string {
 	engine := faultyEngine(end)
--- a/internal/operator/trace/trace.go
+++ b/internal/operator/trace/trace.go
@@ -85,14 +85,14 @@
 }
 
 // persistentKinds are the messages of states that hold, however old, until the process logs the same message again.
-var persistentKinds = []string{"start", "reload", "store lost", "store regained", "configuration in force"}
+var persistentKinds = []string{"start", "reload", "store lost", "store regained", "configuration in force", "centre evacuated"}
 
 // selectStates returns the states that concern the request, in order of time.
 func (t *Trace) selectStates(states []Line) (selected []Line) {
 	slices.SortStableFunc(states, byTime)
 	from, to := t.span()
 	involved := t.findParticipants()
-	// latest holds the last earlier line of each process, persistent kind and call.
+	// latest holds the last earlier line of each process, persistent kind, call and data centre.
 	latest := map[string]Line{}
 	for _, l := range states {
 		if l.Time.After(to.Add(maxClockSkew)) || !involved.concerns(l) {
@@ -104,7 +104,7 @@
 		} else if !l.Time.Before(from.Add(-lookback)) {
 			selected = append(selected, l)
 		} else if slices.Contains(persistentKinds, l.Message) {
-			latest[l.Instance+" "+l.Message+" "+l.Get("call")] = l
+			latest[l.Instance+" "+l.Message+" "+l.Get("call")+l.Get("centre")] = l
 		}
 	}
 	for _, l := range latest {
--- a/internal/operator/trace/trace_test.go
+++ b/internal/operator/trace/trace_test.go
@@ -59,6 +59,11 @@
 			[]string{"refused, and has not run", "targets of service holds had turned requests away and asked for rest; the first took requests again after 1.907s"},
 			nil, "may have run",
 		},
+		{
+			"evacuated.log", "9",
+			[]string{"refused, and has not run", "evacuated all data centres with targets of service holds: c0,c1", "Data centre c0 was evacuated at 09:01:07.310", "Data centre c1 was evacuated at 09:04:40.102"},
+			[]string{"centre evacuated"}, "may have run",
+		},
 		{
 			"at-limit.log", "9",
 			[]string{"refused, and has not run", "targets of service holds have named limits of 1 requests a second together; the next permit was due after 907"},
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -64,6 +64,8 @@
 	StaleConfiguration func(ctx context.Context) (*site.Configuration, error)
 	// Targets lists the records of targets and returns the store's revision.
 	Targets func(ctx context.Context) ([]site.TargetRecord, int64, error)
+	// Evacuations lists the keys of the evacuated data centres. It is called only if the settings have a time for evacuations.
+	Evacuations func(ctx context.Context) ([]site.Evacuation, error)
 	// Close closes idle connections.
 	Close func()
 }
@@ -234,6 +236,7 @@
 	if wait > 0 {
 		node.Pause(ctx, wait)
 	}
+	p.awaitEvacuations(ctx)
 }
 
 // detectPause records that the process runs, and reports whether it was paused since the previous call, minSendInterval ago.
--- a/internal/process/gateway/gateway_follow.go
+++ b/internal/process/gateway/gateway_follow.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/site"
@@ -44,17 +42,36 @@
 	revision int64
 	// lastFullRead is when everything was last read.
 	lastFullRead time.Time
-	// targets holds the valid targets by ID, and invalid the errors of the records that could not be decoded.
-	targets map[string]site.Target
-	invalid map[string]string
+	// targets holds the usable targets by ID, unserved those of services that the configuration does not name, and invalid the faulty
+	// fields of the records that can't be used.
+	targets, unserved map[string]site.Target
+	invalid           map[string]string
+	// services holds the services that a configuration has named, up to the version servicesVersion.
+	services        map[string]bool
+	servicesVersion int64
+	// evacuated holds the evacuated data centres. It is complete as of the revision if listsCentres is set, and otherwise empty.
+	evacuated    map[string]bool
+	listsCentres bool
+	// resumedAt is the latest start or pause after which a failed read was repeated at once.
+	resumedAt time.Duration
 	// reachable is false after a failed read.
 	reachable bool
 }
 
+func newStoreState() *storeState {
+	return &storeState{
+		reachable: true, targets: map[string]site.Target{}, unserved: map[string]site.Target{}, invalid: map[string]string{},
+		services: map[string]bool{}, evacuated: map[string]bool{},
+	}
+}
+
+// errRolledBack reports that the store has older contents than before, as after a recovery.
+var errRolledBack = errors.New("the store has older contents than before")
+
 // followStore keeps the configuration and the targets up to date until the context ends. One relay of each data
 // centre reads the store, and the other entries learn from it; they read it themselves while it does not tell them enough.
 func (p *Process) followStore(ctx context.Context) {
-	s := &storeState{reachable: true, targets: map[string]site.Target{}, invalid: map[string]string{}}
+	s := newStoreState()
 	for ctx.Err() == nil {
 		switch {
 		case p.mustRead():
@@ -146,7 +163,7 @@
 	startedAt, ok := p.Boot.Now()
 	err := p.syncOnce(ctx, s)
 	switch {
-	case errors.Is(err, site.ErrCompacted):
+	case errors.Is(err, site.ErrCompacted), errors.Is(err, errRolledBack):
 		p.Log.Info("store is read anew", "reason", err)
 		s.revision = 0
 		node.Pause(ctx, minWatchInterval-p.Now().Sub(began))
@@ -158,16 +175,21 @@
 			p.Log.Warn("store lost", "error", err, "version", p.version())
 		}
 		s.reachable = false
+		if p.readsAfterPause(s) {
+			s.revision = 0
+			return
+		}
 		node.Pause(ctx, retryDelay)
 		return
 	case !s.reachable:
 		p.Log.Info("store regained", "version", p.version())
 		s.reachable = true
 	}
-	p.applyTargets(slices.Collect(maps.Values(s.targets)), began)
+	centres := s.centres()
+	p.applyTargets(s.list(), centres, began)
 	if ok {
 		// The configuration is confirmed as of the start of the read.
-		p.confirmRead(startedAt, s.targets)
+		p.confirmRead(startedAt, s.targets, centres)
 	}
 	node.Pause(ctx, minWatchInterval-p.Now().Sub(began))
 }
@@ -184,7 +206,7 @@
 }
 
 // confirmRead records that this entry has read everything from the store as of a time on the Boot clock.
-func (p *Process) confirmRead(at time.Duration, targets map[string]site.Target) {
+func (p *Process) confirmRead(at time.Duration, targets map[string]site.Target, centres []string) {
 	if p.configuration.Load() != nil {
 		p.confirm(at)
 	}
@@ -192,7 +214,7 @@
 	p.targetsAt, p.blind = max(p.targetsAt, at), false
 	p.mu.Unlock()
 	if p.configuration.Load() != nil {
-		p.updateFeed(targets, at)
+		p.updateFeed(targets, centres, at)
 	}
 }
 
@@ -208,8 +230,7 @@
 
 // syncOnce reads everything if a full read is due, and otherwise waits for a change.
 func (p *Process) syncOnce(ctx context.Context, s *storeState) error {
-	history := p.settings.Load().History
-	if s.revision == 0 || p.Now().Sub(s.lastFullRead) > time.Duration(rereadFraction*float64(history)) {
+	if s.revision == 0 || s.listsCentres != p.evacuates() || p.Now().Sub(s.lastFullRead) > p.rereadInterval() {
 		return p.readAll(ctx, s)
 	}
 	return p.watch(ctx, s)
@@ -230,19 +251,24 @@
 	if err != nil {
 		return err
 	}
+	evacuations, err := p.listEvacuations(ctx)
+	if err != nil {
+		return err
+	}
 	s.lastFullRead = p.Now()
-	if s.revision == 0 {
-		// The configuration was read after the list, so watching from this revision misses no change of either.
+	if s.revision == 0 || listRevision < s.revision {
+		// The rest was read after the list, so watching from this revision misses no change. A lower revision than before is that of a
+		// store with older contents.
 		s.revision = listRevision
 	}
 	if c != nil {
 		p.applyConfiguration(c)
 	}
 	clear(s.targets)
+	clear(s.unserved)
 	p.updateTargets(s, list)
-	maps.DeleteFunc(s.invalid, func(id, _ string) bool {
-		return !slices.ContainsFunc(list, func(e site.TargetRecord) bool { return e.ID == id })
-	})
+	p.replaceEvacuations(s, evacuations)
+	s.forgetRecords(list, evacuations)
 	return nil
 }
 
@@ -256,33 +282,18 @@
 	if err != nil {
 		return err
 	}
+	if c.AsOf > 0 && c.AsOf < s.revision && p.Now().Sub(s.lastFullRead) > minRereadInterval {
+		return errRolledBack
+	}
 	s.revision = max(s.revision, c.Revision)
 	if c.Configuration != nil {
 		p.applyConfiguration(c.Configuration)
 	}
 	p.updateTargets(s, c.Targets)
+	p.updateEvacuations(s, c.Evacuations)
 	return nil
 }
 
-// updateTargets applies changed records of targets. An invalid record is logged once.
-func (p *Process) updateTargets(s *storeState, list []site.TargetRecord) {
-	for _, e := range list {
-		delete(s.targets, e.ID)
-		if e.Target != nil {
-			s.targets[e.ID] = *e.Target
-		}
-		if e.Fault == nil {
-			delete(s.invalid, e.ID)
-			continue
-		}
-		if text := e.Fault.Error(); s.invalid[e.ID] != text {
-			s.invalid[e.ID] = text
-			p.metrics.invalidRecords.Add(1)
-			p.Log.Warn("entry refused", "target", e.ID, "error", text)
-		}
-	}
-}
-
 // applyConfiguration replaces the configuration if the given one is newer.
 func (p *Process) applyConfiguration(c *site.Configuration) {
 	old := p.configuration.Load()
@@ -304,14 +315,16 @@
 	return versionOf(p.configuration.Load())
 }
 
-// applyTargets replaces the known targets by a list that is at least as recent as the given time.
-func (p *Process) applyTargets(list []site.Target, readAt time.Time) {
+// applyTargets replaces the known targets and evacuated data centres by lists that are at least as recent as the given time.
+func (p *Process) applyTargets(list []site.Target, centres []string, readAt time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.setTargets(p.Now(), list, readAt)
+	now := p.Now()
+	p.setTargets(now, list, readAt)
+	p.setCentres(now, centres)
 }
 
-// setTargets is applyTargets with mu held.
+// setTargets replaces the known targets by a list that is at least as recent as the given time; mu is held.
 func (p *Process) setTargets(now time.Time, list []site.Target, readAt time.Time) {
 	for _, c := range p.registry.Apply(now, list) {
 		p.applyChange(now, c)
--- a/internal/process/gateway/gateway_member.go
+++ b/internal/process/gateway/gateway_member.go
@@ -103,6 +103,7 @@
 	if at > p.targetsAt {
 		p.targetsAt = at
 		p.setTargets(now, m.Targets(), now.Add(at-boot))
+		p.setCentres(now, n.Relay.Evacuated)
 	}
 	if p.version() < n.Relay.Version {
 		p.wakeStore()
--- a/internal/process/gateway/gateway_relay.go
+++ b/internal/process/gateway/gateway_relay.go
@@ -32,6 +32,8 @@
 	// negative if it never has.
 	feed   *inventory.Feed
 	readAt time.Duration
+	// evacuated are the evacuated data centres as of readAt.
+	evacuated []string
 	// relayedAt is when a datagram was last sent as a relay, and sentLoads the loads that it had.
 	relayedAt time.Time
 	sentLoads map[uint32]int
@@ -198,6 +200,7 @@
 	digest := view.Digest()
 	n.Relay = &message.Relay{
 		Settled: p.mesh.Settled(now), View: digest, Loads: message.EncodeLoads(loads), Version: p.sentVersion, Inventory: p.feed.Sequence(), Blind: p.blind,
+		Evacuated: p.evacuated,
 	}
 	if ended := p.registry.OutageEndedAt(); !ended.IsZero() {
 		n.Relay.Outage = max(now.Sub(ended).Microseconds(), 1)
@@ -233,13 +236,14 @@
 	return a
 }
 
-// updateFeed passes on the targets that this entry has read from the store, complete as of readAt, and tells the members at
-// once if they or the version of the configuration have changed.
-func (p *Process) updateFeed(targets map[string]site.Target, readAt time.Duration) {
+// updateFeed passes on the targets and the evacuated data centres that this entry has read from the store, complete as of readAt, and
+// tells the members at once if they or the version of the configuration have changed.
+func (p *Process) updateFeed(targets map[string]site.Target, centres []string, readAt time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	changed := p.feed.Update(targets) || p.version() != p.sentVersion
-	p.readAt = readAt
+	centres = relayedCentres(centres, targets)
+	changed := p.feed.Update(targets) || p.version() != p.sentVersion || !slices.Equal(centres, p.evacuated)
+	p.readAt, p.evacuated = readAt, centres
 	if changed && p.mesh.IsRelay() {
 		p.relay(p.Now())
 	}
--- a/internal/process/gateway/gateway_run.go
+++ b/internal/process/gateway/gateway_run.go
@@ -33,11 +33,10 @@
 	now := p.Now()
 	verdict, by := p.suspects.Check(now, v.fingerprint, v.parts)
 	v.rejection = v.checkSuspect(now, verdict, by)
-	p.mu.Unlock()
 	if available == 0 {
-		v.refuse(http.StatusServiceUnavailable, "no target of "+name, shortRetryAfter)
-		return
+		v.rejection = cmp.Or(v.rejectEvacuated(name), rejection{http.StatusServiceUnavailable, "no target of " + name, shortRetryAfter})
 	}
+	p.mu.Unlock()
 	if r := v.rejection; r.status != 0 {
 		v.refuse(r.status, r.reason, r.retryAfter)
 		return
@@ -107,7 +106,7 @@
 func (p *Process) occupancy(s *site.Service, gap time.Duration) (running, seats int) {
 	ranks := p.registry.Available(s.Name)
 	running = p.registry.Running(s.Name) + p.reservedSeats[s.Name]
-	return running, min(p.estimator(s.Name).Seats(p.Now(), s, gap, ranks), p.registry.Width(s.Name))
+	return running, min(p.estimator(s.Name).Seats(p.Now(), s, gap, ranks), p.registry.Width(s.Name)+p.registry.RunningEvacuated(s.Name))
 }
 
 // acquireSeat waits for a seat and reports whether the request got one. If not, the request has ended.
@@ -139,6 +138,9 @@
 			v.abandon("abandoned", "caller left while it waited for a seat")
 		}
 	}
+	if !admitted && v.refuseEvacuated() {
+		return false
+	}
 	if !admitted {
 		p.Log.Info("no seat", "id", v.ID, "service", name, "running", running, "seats", seats, "pause", gap, "late", w.Late)
 		v.refuse(http.StatusServiceUnavailable, "no seat", retryAfter)
@@ -190,6 +192,7 @@
 			return m
 		}
 		waiting = p.awaitPermit(v.caller.Context(), m, v.priority, waiting)
+		p.awaitCatchUp(v.caller.Context())
 	}
 }
 
@@ -212,7 +215,7 @@
 		m = p.registry.Choose(now, choice, p.Random.Float64())
 	}
 	if m == nil && v.runs == 0 {
-		v.rejection = cmp.Or(v.rejectLimited(now, choice), v.rejectResting(now, choice))
+		v.rejection = cmp.Or(v.rejectEvacuated(choice.Service), v.rejectLimited(now, choice), v.rejectResting(now, choice))
 	}
 	if m == nil {
 		return nil, false
--- a/internal/proof/edge/rig_test.go
+++ b/internal/proof/edge/rig_test.go
@@ -76,6 +76,8 @@
 	entries []*entry
 	// engine describes the engines of a group in the next configuration; nil for a plain service.
 	engine map[string]any
+	// edit changes the settings of an entry that is added; nil for none.
+	edit func(number int, s *site.Settings)
 	// split is set while entries of odd and of even numbers do not reach each other.
 	split atomic.Bool
 }
@@ -140,7 +142,13 @@
 // newSite starts entries that know each other, with a target for each handler.
 func newSite(t *testing.T, entries int, revoke time.Duration, handlers ...http.HandlerFunc) *rig {
 	t.Helper()
-	r := &rig{t: t, store: &store{values: map[string]json.RawMessage{}, created: map[string]int64{}}}
+	return newEditedSite(t, entries, revoke, nil, handlers...)
+}
+
+// newEditedSite is newSite with a change of the entries' settings.
+func newEditedSite(t *testing.T, entries int, revoke time.Duration, edit func(number int, s *site.Settings), handlers ...http.HandlerFunc) *rig {
+	t.Helper()
+	r := &rig{t: t, edit: edit, store: &store{values: map[string]json.RawMessage{}, created: map[string]int64{}}}
 	storeServer := httptest.NewServer(r.store)
 	t.Cleanup(storeServer.Close)
 	r.address = netip.MustParseAddrPort(storeServer.Listener.Addr().String())
@@ -183,6 +191,9 @@
 		Seeds: []netip.AddrPort{seed}, Metrics: loopback.FreeAddress(r.t), Callers: front, Ready: ready, History: 20 * time.Second,
 		Grace: 8 * time.Second, Revoke: revoke, Retries: site.RetryBound{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 	}}
+	if r.edit != nil {
+		r.edit(number, e.settings)
+	}
 	r.entries = append(r.entries, e)
 	return e
 }
@@ -248,6 +259,12 @@
 			}
 			return s.Targets(ctx)
 		},
+		Evacuations: func(ctx context.Context) ([]site.Evacuation, error) {
+			if e.storeCut.Load() {
+				return nil, errCut
+			}
+			return s.Evacuations(ctx)
+		},
 	}
 }
 
--- a/internal/proof/edge/store_test.go
+++ b/internal/proof/edge/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,6 +12,9 @@
 	"time"
 )
 
+// evacuationPrefix is the prefix of the keys that evacuate data centres.
+const evacuationPrefix = "op/evacuate/"
+
 // store is a fake of the platform's store.
 type store struct {
 	mu sync.Mutex
@@ -23,6 +27,10 @@
 	unavailable, dropEvents atomic.Bool
 	// calls counts the HTTP calls of all kinds.
 	calls atomic.Int64
+	// delay is the time in nanoseconds by which each call is answered late.
+	delay atomic.Int64
+	// evacuationLists counts the lists of evacuated data centres.
+	evacuationLists atomic.Int64
 }
 
 func (s *store) put(key string, value any) {
@@ -30,6 +38,32 @@
 	if err != nil {
 		panic(err)
 	}
+	s.putBytes(key, data)
+}
+
+// contents are what a store holds at one time.
+type contents struct {
+	values   map[string]json.RawMessage
+	created  map[string]int64
+	revision int64
+}
+
+// save returns the present contents.
+func (s *store) save() contents {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return contents{values: maps.Clone(s.values), created: maps.Clone(s.created), revision: s.revision}
+}
+
+// restore goes back to earlier contents, as a store does that has lost its latest writes.
+func (s *store) restore(c contents) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.values, s.created, s.revision = maps.Clone(c.values), maps.Clone(c.created), c.revision
+}
+
+// putBytes writes a value as it is.
+func (s *store) putBytes(key string, data []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
@@ -54,6 +88,7 @@
 
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.calls.Add(1)
+	time.Sleep(time.Duration(s.delay.Load()))
 	if s.unavailable.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -70,6 +105,9 @@
 		}
 		fmt.Fprint(w, strings.TrimSuffix(string(value), "}")+`,"asOf":`+strconv.FormatInt(s.revision, 10)+"}")
 	case "kv-range":
+		if query.Get("prefix") == evacuationPrefix {
+			s.evacuationLists.Add(1)
+		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		items := []json.RawMessage{}
