--- a/internal/edge/target/pace.go
+++ b/internal/edge/target/pace.go
@@ -100,8 +100,8 @@
 }
 
 // Occupancy returns the number of requests in progress at a service, and the number of its targets that accept new ones and how
-// many requests these run at once. Groups that are stalled or very slow are left out if there are other targets: their requests
-// hold no seat of those.
+// many requests these run at once, without the evacuated ones. Groups that are stalled or very slow are left out if there are other
+// targets: their requests hold no seat of those.
 func (r *Registry) Occupancy(service string, stalled map[uint32]bool) (running, available, width int) {
 	if len(stalled) > 0 || len(r.slowGroups) > 0 {
 		running, available, width = r.occupancy(service, func(m *Member) bool { return r.delayed(m, stalled) })
@@ -118,7 +118,7 @@
 // occupancy is Occupancy without the members that leftOut reports.
 func (r *Registry) occupancy(service string, leftOut func(m *Member) bool) (running, available, width int) {
 	for _, m := range r.services[service] {
-		if leftOut(m) {
+		if m.evacuated || leftOut(m) {
 			continue
 		}
 		running += m.Running()
