Estimate the passes of a group from its own streams and ranks

Cause: the estimator took the streams of all groups for those of the one whose gap it saw. While two of three groups were slow, their streams made the third one's passes look long, and it got 103 seats where it had run 190 streams on time. Change: the streams and ranks of an observation are those of the stream's group, if it is known.

--- a/internal/edge/target/pace.go
+++ b/internal/edge/target/pace.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/dragonflydeal/dragonflydeal/internal/edge/seat"
 	"github.com/dragonflydeal/dragonflydeal/internal/group/hold"
 )
 
@@ -115,6 +116,22 @@
 	return running, available, width
 }
 
+// GroupOccupancy returns the requests in progress at a group of a service and the number of its ranks that accept new ones, or those
+// of the whole service if the group is zero: the ranks of a group wait for each other, not for those of other groups.
+func (r *Registry) GroupOccupancy(service string, group uint32) (o seat.Occupancy) {
+	for _, m := range r.services[service] {
+		if group != 0 && m.Group != group {
+			continue
+		}
+		o.Own += m.Own
+		o.Running += m.Running()
+		if !m.Leaving && !m.evacuated {
+			o.Ranks++
+		}
+	}
+	return o
+}
+
 // occupancy is Occupancy without the members that leftOut reports.
 func (r *Registry) occupancy(service string, leftOut func(m *Member) bool) (running, available, width int) {
 	for _, m := range r.services[service] {
--- a/internal/edge/target/pace_test.go
+++ b/internal/edge/target/pace_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dragonflydeal/dragonflydeal/internal/edge/seat"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/site"
 )
 
@@ -147,6 +148,15 @@
 	is.Equal([]int{running, available, width}, []int{4, 2, 12})
 }
 
+// TestGroupOccupancy checks that the estimate of a group's passes does not count the streams and ranks of others: a slow group
+// keeps its streams long, and the passes of the others do not depend on them.
+func TestGroupOccupancy(t *testing.T) {
+	is := is.New(t)
+	r := newRanks([]rank{{7, 12, 4}, {7, 1, 4}, {8, 1, 3}, {8, 1, 2}, {0, 0, 1}})
+	is.Equal(r.GroupOccupancy("holds", 8), seat.Occupancy{Running: 5, Ranks: 2})
+	is.Equal(r.GroupOccupancy("holds", 0), seat.Occupancy{Running: 14, Ranks: 5})
+}
+
 // TestSlowRanksUnderLoad places requests at 72 ranks of three groups, of which two are twelve times slower. They must get nothing
 // at two thirds of what the targets can run, which is more than the third group can run.
 func TestSlowRanksUnderLoad(t *testing.T) {
--- a/internal/process/gateway/gateway_stream.go
+++ b/internal/process/gateway/gateway_stream.go
@@ -10,7 +10,6 @@
 
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/call"
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/events"
-	"github.com/dragonflydeal/dragonflydeal/internal/edge/seat"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/answer"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/suspect"
 )
@@ -134,8 +133,7 @@
 		p.metrics.eventGap.Observe(gap.Seconds())
 		p.mu.Lock()
 		name := s.service.Name
-		o := seat.Occupancy{Own: p.registry.Own(name), Running: p.registry.Running(name), Ranks: p.registry.Available(name)}
-		p.estimator(name).Observe(now, gap, o, s.service, s.route.Gap)
+		p.estimator(name).Observe(now, gap, p.registry.GroupOccupancy(name, s.group), s.service, s.route.Gap)
 		p.mu.Unlock()
 	}
 	s.lastEvent = now
