Let a lower pace of an engine count only after a second

Cause: a pace that varies around 3 (or 1.25) with each report would move a rank's experts away and back, a switch each time, and change the records that relays pass on.

Change: the slot passes its engine's reports through hold.PaceFilter: a higher pace counts at once, a lower one a second after the last higher one, a new incarnation's at once.

--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -96,7 +96,9 @@
 	// tally turns the engine's running totals into increments for the leader.
 	tally    load.Tally
 	sequence uint64
-	identity identity
+	// paceFilter steadies the engine's pace.
+	paceFilter hold.PaceFilter
+	identity   identity
 	// suspects holds the lost runs that entries have reported, for entries that start when no other entry runs.
 	suspects *suspect.Tracker
 	// expertConfig describes the group's experts; nil until the configuration was read.
--- a/internal/process/sidecar/sidecar_engine.go
+++ b/internal/process/sidecar/sidecar_engine.go
@@ -62,6 +62,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	e.Pace = p.paceFilter.Add(p.Now(), &e)
 	p.core.UpdateEngine(p.Now(), e)
 	p.updateCurrentMap(e)
 	p.identity.engine = e
