Order waiting requests by slack and fair shares, and promise returns

Cause: a request waited at most 0.09 of its goal in the order of arrival, and a refused caller was told a random time. Under overload a workspace that asks most often took nearly all seats, a quarter of the time for an answer on time went unused, and callers returned into the same peak.

Change: seat.Queue lets a request wait while a seat is expected by the time at which its answer is still on time, by the rate at which the entry's own streams end; the order is priority, start-time fair queueing between workspaces by expected seat time, least slack. Less urgent priorities get a twentieth, returned callers up to a quarter of the seats that become free. An entry replaces its own ended streams at once, takes its part of the seats that news shows as free, and moves towards an even part. Retry-After names a time slot in which seats are not promised yet. Plain services use the same queue, by the widths of their targets. Token-Count and Length-Hint are decoded into call.Tokens.

The part for grouped services is whole.

--- a/internal/edge/call/call.go
+++ b/internal/edge/call/call.go
@@ -28,6 +28,16 @@
 	LastEventID string
 	// Parts are the IDs of the parts of the prompt that other requests may share, in order and at most suspect.MaxParts.
 	Parts []string
+	// Tokens is what the caller says of the length of its prompt and of the answer.
+	Tokens Tokens
+}
+
+// Tokens are numbers of tokens; each is zero if the caller does not state it.
+type Tokens struct {
+	// Prompt is the length of the prompt, and MaxOutput the longest answer.
+	Prompt, MaxOutput int
+	// Output is an estimate of the length of the answer. It is right at the median but often far off.
+	Output int
 }
 
 // Attempt is one attempt to run a call at a target.
--- a/internal/process/gateway/gateway_metrics.go
+++ b/internal/process/gateway/gateway_metrics.go
@@ -22,6 +22,9 @@
 	permits *metrics.Counter
 	// rests counts the times at which a target asked for rest.
 	rests *metrics.Counter
+	// seats counts the decisions on seats, and seatWait is the time that requests waited for one.
+	seats    *metrics.Counter
+	seatWait *metrics.Histogram
 	// timeToHeaders is the time from sending an attempt to the headers of its answer, duration that of a whole request,
 	// and eventGap that between two events of a stream.
 	timeToHeaders, duration, eventGap *metrics.Histogram
@@ -31,6 +34,7 @@
 	return &processMetrics{
 		requests: s.Counter("requests"), attempts: s.Counter("attempts"), storeCalls: s.Counter("reads"),
 		invalidRecords: s.Counter("unreadable"), datagrams: s.Counter("datagrams"), lostRuns: s.Counter("runs"), permits: s.Counter("permits"), rests: s.Counter("rests"),
+		seats: s.Counter("seats"), seatWait: s.Histogram("wait"),
 		timeToHeaders: s.Histogram("first"), duration: s.Histogram("whole"), eventGap: s.Histogram("pause"),
 	}
 }
--- a/internal/process/gateway/gateway_run.go
+++ b/internal/process/gateway/gateway_run.go
@@ -8,7 +8,6 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/budget"
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/seat"
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/target"
-	"github.com/dragonflydeal/dragonflydeal/internal/fleet/site"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/suspect"
 )
 
@@ -21,7 +20,7 @@
 	maxAttempts = 3
 )
 
-// dispatch chooses a service for the request and serves it. For a group of engines the request needs a seat first.
+// dispatch chooses a service for the request and serves it. The request needs a seat first.
 func (v *request) dispatch() {
 	p := v.process
 	name := v.pickService()
@@ -43,11 +42,8 @@
 		return
 	}
 	defer v.endExclusive()
-	if !v.service.Grouped() {
-		v.serveAttempts()
-		return
-	}
 	if v.acquireSeat() {
+		defer v.releaseSeat()
 		v.serveAttempts()
 	}
 }
@@ -103,82 +99,11 @@
 	return e
 }
 
-// occupancy returns the number of streams in progress at a service and its number of seats; mu is held.
-func (p *Process) occupancy(s *site.Service, gap time.Duration) (running, seats int) {
-	ranks := p.registry.Available(s.Name)
-	running = p.registry.Running(s.Name) + p.reservedSeats[s.Name]
-	return running, min(p.estimator(s.Name).Seats(p.Now(), s, gap, ranks), p.registry.Width(s.Name))
-}
-
-// acquireSeat waits for a seat and reports whether the request got one. If not, the request has ended.
-func (v *request) acquireSeat() bool {
-	p := v.process
-	w := &seat.Waiter{
-		Priority: v.priority, Late: v.pastGoal(), Arrived: v.began, Goal: v.route.Goal, Gap: v.route.Gap, Done: make(chan bool, 1),
-	}
-	p.mu.Lock()
-	name := v.service.Name
-	queue := p.queues[name]
-	if queue == nil {
-		queue = &seat.Queue{}
-		p.queues[name] = queue
-	}
-	running, seats := p.occupancy(v.service, v.route.Gap)
-	decided, admitted := queue.Offer(w, running, seats)
-	if decided && admitted {
-		p.reservedSeats[name]++
-	}
-	gap := p.estimator(name).MeanGap(p.Now())
-	retryAfter := seat.RetryAfter(p.Random)
-	p.mu.Unlock()
-	if !decided {
-		select {
-		case admitted = <-w.Done:
-		case <-v.caller.Context().Done():
-			v.cancelWait(queue, w)
-			v.abandon("abandoned", "caller left while it waited for a seat")
-		}
-	}
-	if !admitted {
-		p.Log.Info("no seat", "id", v.ID, "service", name, "running", running, "seats", seats, "pause", gap, "late", w.Late)
-		v.refuse(http.StatusServiceUnavailable, "no seat", retryAfter)
-	}
-	return admitted
-}
-
-// pastGoal reports whether the answer can no longer be on time. A caller that retries sends the time that it has left
-// as its timeout, so the difference to the route's timeout has already passed; it may exceed the goal.
-func (v *request) pastGoal() bool {
-	return v.Timeout > 0 && v.route.Timeout-v.Timeout > v.route.Goal
-}
-
-// cancelWait removes a request whose caller left from the queue, or returns the seat that it was given meanwhile.
-func (v *request) cancelWait(queue *seat.Queue, w *seat.Waiter) {
-	p := v.process
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	queue.Remove(w)
-	select {
-	case admitted := <-w.Done:
-		if admitted {
-			p.reservedSeats[v.service.Name]--
-		}
-	default:
-	}
-}
-
-// admitWaiting gives free seats of a service to waiting requests; mu is held.
-func (p *Process) admitWaiting(service string, queue *seat.Queue) {
-	s := p.configuration.Load().Service(service)
-	running, seats := p.occupancy(s, queue.Gap())
-	p.reservedSeats[service] += queue.Dispatch(p.Now(), running, seats)
-}
-
 // chooseTarget picks the next target and counts the request as in progress there. It returns nil if there is no target, or if
 // the request is rejected because it may end its target or because the targets take no more.
 func (v *request) chooseTarget() *target.Member {
 	p := v.process
-	if v.attempts == 0 && v.service.Grouped() {
+	if v.attempts == 0 && v.waiter != nil {
 		p.mu.Lock()
 		p.reservedSeats[v.service.Name]--
 		p.mu.Unlock()
--- a/internal/process/gateway/gateway_serve.go
+++ b/internal/process/gateway/gateway_serve.go
@@ -67,6 +67,8 @@
 	framed bool
 	// succeeded is set if the answer of the latest attempt has a status of success.
 	succeeded bool
+	// seatUse is the request's seat.
+	seatUse
 	// headersSent is set once the headers of an answer were sent to the caller.
 	headersSent bool
 }
--- a/internal/process/gateway/gateway_stream.go
+++ b/internal/process/gateway/gateway_stream.go
@@ -116,6 +116,9 @@
 func (s *stream) noteEvent() {
 	s.events++
 	s.heardAt = s.process.Now()
+	if s.firstAt.IsZero() {
+		s.firstAt = s.heardAt
+	}
 	if s.events != suspect.SurvivalEvents {
 		return
 	}
