--- a/internal/edge/target/evacuate_test.go
+++ b/internal/edge/target/evacuate_test.go
@@ -95,8 +95,7 @@
 	r.Rest(start, one, start.Add(time.Second))
 	is.True(r.NextRested(start, choice).IsZero())
 	// What still runs there holds no seat of the others.
-	running, _, _ := r.Occupancy("holds", nil)
-	is.Equal(running, r.Running("holds")-1)
+	is.Equal(r.Occupancy("holds", nil).Running, r.Running("holds")-1)
 	is.Equal(r.Running("holds"), 6) // requests that run end normally
 	is.Equal(len(r.AllEvacuated("holds")), 0)
 	is.Equal(r.AllEvacuated("another"), nil)
--- a/internal/edge/target/pace.go
+++ b/internal/edge/target/pace.go
@@ -100,49 +100,46 @@
 	return m.Running() < m.Width && !now.Before(m.blockedUntil)
 }
 
-// Occupancy returns the number of requests in progress at a service, and the number of its targets that accept new ones and how
-// many requests these run at once, without the evacuated ones. Groups that are stalled or very slow are left out if there are other
-// targets: their requests hold no seat of those.
-func (r *Registry) Occupancy(service string, stalled map[uint32]bool) (running, available, width int) {
+// Occupancy is what runs at some targets of a service.
+type Occupancy struct {
+	seat.Occupancy
+	// Width is the number of requests that the targets which accept new ones run at once.
+	Width int
+}
+
+// Occupancy returns what runs at the targets of a service, without the evacuated ones. Groups that are stalled or very slow are left
+// out if there are other targets: their requests hold no seat of those.
+func (r *Registry) Occupancy(service string, stalled map[uint32]bool) (o Occupancy) {
 	if len(stalled) > 0 || len(r.slowGroups) > 0 {
-		running, available, width = r.occupancy(service, func(m *Member) bool { return r.delayed(m, stalled) })
+		o = r.occupancy(service, func(m *Member) bool { return !r.delayed(m, stalled) })
 	}
-	if available == 0 && len(stalled) > 0 {
-		running, available, width = r.occupancy(service, func(m *Member) bool { return stalled[m.Group] })
+	if o.Ranks == 0 && len(stalled) > 0 {
+		o = r.occupancy(service, func(m *Member) bool { return !stalled[m.Group] })
 	}
-	if available == 0 {
-		running, available, width = r.occupancy(service, func(*Member) bool { return false })
+	if o.Ranks == 0 {
+		o = r.occupancy(service, func(*Member) bool { return true })
 	}
-	return running, available, width
+	return o
 }
 
 // GroupOccupancy returns the requests in progress at a group of a service and the number of its ranks that accept new ones, or those
 // of the whole service if the group is zero: the ranks of a group wait for each other, not for those of other groups.
-func (r *Registry) GroupOccupancy(service string, group uint32) (o seat.Occupancy) {
+func (r *Registry) GroupOccupancy(service string, group uint32) seat.Occupancy {
+	return r.occupancy(service, func(m *Member) bool { return group == 0 || m.Group == group }).Occupancy
+}
+
+// occupancy returns what runs at the targets that counts reports, without the evacuated ones.
+func (r *Registry) occupancy(service string, counts func(m *Member) bool) (o Occupancy) {
 	for _, m := range r.services[service] {
-		if group != 0 && m.Group != group {
+		if m.evacuated || !counts(m) {
 			continue
 		}
 		o.Own += m.Own
 		o.Running += m.Running()
-		if !m.Leaving && !m.evacuated {
+		if !m.Leaving {
 			o.Ranks++
+			o.Width += m.Width
 		}
 	}
 	return o
 }
-
-// occupancy is Occupancy without the members that leftOut reports.
-func (r *Registry) occupancy(service string, leftOut func(m *Member) bool) (running, available, width int) {
-	for _, m := range r.services[service] {
-		if m.evacuated || leftOut(m) {
-			continue
-		}
-		running += m.Running()
-		if !m.Leaving {
-			available++
-			width += m.Width
-		}
-	}
-	return running, available, width
-}
--- a/internal/edge/target/pace_test.go
+++ b/internal/edge/target/pace_test.go
@@ -106,8 +106,8 @@
 		if x != nil {
 			is.Equal(x.ID, y.ID)
 		}
-		xr, xa, xw := a.Occupancy("holds", nil)
-		is.Equal([]int{xr, xa, xw}, []int{b.Running("holds"), b.Available("holds"), b.Width("holds")})
+		o := a.Occupancy("holds", nil)
+		is.Equal([]int{o.Running, o.Ranks, o.Width}, []int{b.Running("holds"), b.Available("holds"), b.Width("holds")})
 	}
 }
 
@@ -135,17 +135,17 @@
 func TestOccupancyLeavesOutDelayedGroups(t *testing.T) {
 	is := is.New(t)
 	r := newRanks([]rank{{7, 1, 4}, {7, 1, 4}, {8, 1, 3}, {8, 1, 2}})
-	running, available, width := r.Occupancy("holds", map[uint32]bool{7: true})
-	is.Equal([]int{running, available, width}, []int{5, 2, 12})
-	running, available, width = r.Occupancy("holds", map[uint32]bool{7: true, 8: true})
-	is.Equal([]int{running, available, width}, []int{13, 4, 24})
-	running, available, width = r.Occupancy("holds", map[uint32]bool{9: true})
-	is.Equal([]int{running, available, width}, []int{13, 4, 24})
+	o := r.Occupancy("holds", map[uint32]bool{7: true})
+	is.Equal([]int{o.Running, o.Ranks, o.Width}, []int{5, 2, 12})
+	o = r.Occupancy("holds", map[uint32]bool{7: true, 8: true})
+	is.Equal([]int{o.Running, o.Ranks, o.Width}, []int{13, 4, 24})
+	o = r.Occupancy("holds", map[uint32]bool{9: true})
+	is.Equal([]int{o.Running, o.Ranks, o.Width}, []int{13, 4, 24})
 	r = newRanks([]rank{{7, 12, 0}, {7, 1, 4}, {8, 1, 3}, {8, 1, 2}})
-	running, available, width = r.Occupancy("holds", nil)
-	is.Equal([]int{running, available, width}, []int{5, 2, 12})
-	running, available, width = r.Occupancy("holds", map[uint32]bool{8: true})
-	is.Equal([]int{running, available, width}, []int{4, 2, 12})
+	o = r.Occupancy("holds", nil)
+	is.Equal([]int{o.Running, o.Ranks, o.Width}, []int{5, 2, 12})
+	o = r.Occupancy("holds", map[uint32]bool{8: true})
+	is.Equal([]int{o.Running, o.Ranks, o.Width}, []int{4, 2, 12})
 }
 
 // TestGroupOccupancy checks that the estimate of a group's passes does not count the streams and ranks of others: a slow group
--- a/internal/process/gateway/gateway_metrics.go
+++ b/internal/process/gateway/gateway_metrics.go
@@ -26,6 +26,9 @@
 	paces, stalls *metrics.Counter
 	// evacuations counts evacuated and returned data centres, and the requests that were refused because of evacuations.
 	evacuations *metrics.Counter
+	// seats counts the decisions on seats, and seatWait is the time that requests waited for one.
+	seats    *metrics.Counter
+	seatWait *metrics.Histogram
 	// timeToHeaders is the time from sending an attempt to the headers of its answer, duration that of a whole request,
 	// and eventGap that between two events of a stream.
 	timeToHeaders, duration, eventGap *metrics.Histogram
@@ -36,7 +39,8 @@
 		requests: s.Counter("requests"), attempts: s.Counter("attempts"), storeCalls: s.Counter("reads"),
 		invalidRecords: s.Counter("unreadable"), datagrams: s.Counter("datagrams"), lostRuns: s.Counter("runs"), permits: s.Counter("permits"), rests: s.Counter("rests"),
 		paces: s.Counter("paces"), stalls: s.Counter("stalls"),
-		evacuations:   s.Counter("evacuations"),
+		evacuations: s.Counter("evacuations"),
+		seats:       s.Counter("seats"), seatWait: s.Histogram("wait"),
 		timeToHeaders: s.Histogram("first"), duration: s.Histogram("whole"), eventGap: s.Histogram("pause"),
 	}
 }
