Let deputies end a map switch whose leader or ranks are silent

Cause: only the slot beside a rank ordered its engine, so a slot that froze between the hold and the release paused the whole group until it was back.

Change: the slots of ranks 1 and 2 act as leader while all lower ranks are silent for 250 ms and an attempt has not ended. They only abort: their own engine holds the step as a guard, live ranks are disarmed by their slots, and silent ones by orders to their engines, with a map that changes nothing in place of the prepared one. The leader treats silent ranks in its own abort alike. No step is named twice in an epoch, a report from before the latest order does not count as clean, a restarted guard releases only at the end of an abort for its step, and a slot that was paused waits until it could have heard the others again. A leader that has restarted needs one step of the group before it begins a switch.

Tests: the model check freezes slots between any two calls, cuts them off, loses and delays orders to other ranks and counts steps anew in a new epoch. Half of its schedules advance time in small steps, in which slots find others silent. Three tests in sidecar_send_test let a step pass before the switch.

--- a/internal/group/hold/attempt.go
+++ b/internal/group/hold/attempt.go
@@ -1,6 +1,9 @@
 package hold
 
-import "cmp"
+import (
+	"cmp"
+	"net/netip"
+)
 
 // Phase is the phase of an attempt; within an attempt it only increases.
 type Phase int
@@ -50,6 +53,8 @@
 	Map [][][]int
 	// Guard is the rank that holds the step in addition to the leader; it is set in PhaseGuard.
 	Guard int
+	// Aborted is set in PhaseEnded if no rank is armed for Step and none can be armed for it any more.
+	Aborted bool
 	// Incarnations lists the incarnations of the slots that prepared, by rank; it is set from PhaseArm on.
 	// A slot that has restarted since must not arm when it receives the attempt.
 	Incarnations []uint64
@@ -81,4 +86,6 @@
 	NoPendingRelease bool
 	// Guarding means that the engine holds by an order of this slot, and only a further order of it releases the engine.
 	Guarding bool
+	// Engine is the address at which other slots reach the engine; it is invalid if it is not known.
+	Engine netip.AddrPort
 }
--- a/internal/group/hold/core.go
+++ b/internal/group/hold/core.go
@@ -2,6 +2,7 @@
 
 import (
 	_ "embed"
+	"net/netip"
 	"time"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/base/chart"
@@ -35,17 +36,36 @@
 	// the group. A larger group takes longer: one more step for each ranksPerStep ranks.
 	minStepMargin = 2
 	ranksPerStep  = 48
+	// maxExtraSteps bounds how many steps beyond that margin a step may be named, so that a restarted leader knows a bound of the
+	// steps that its predecessor has named.
+	maxExtraSteps = 4
 )
 
 // Core is the state machine of one rank's slot in the map switches of its group. It is not safe for concurrent use.
 type Core struct {
 	// rules are the safety rules; tests weaken one at a time.
 	rules rules
+	// unixMilli returns the wall clock's time; tests set one that does not stand still with the steady clock.
+	unixMilli func(now time.Time) int64
 	// incarnation is the incarnation of the slot process.
 	incarnation uint64
 	// engine is the latest report; it is not valid until engineKnown is set.
 	engine      Engine
 	engineKnown bool
+	// engineAddress is the address at which other slots reach the engine.
+	engineAddress netip.AddrPort
+	// reportOutdated means that an order has ended since the engine was read, so that the report may not show its effect.
+	reportOutdated bool
+	// calledAt is the time of the latest call, and awakeSince the end of the latest pause of this process that its clock shows.
+	calledAt, awakeSince time.Time
+	// switchSince is when this slot first followed an attempt of the switch in progress.
+	switchSince time.Time
+	// otherSince is when this slot first saw the unended attempt of another leader, or zero.
+	otherSince time.Time
+	// notActingBefore is the time before which this slot doesn't act as leader again.
+	notActingBefore time.Time
+	// nextStep is above every step that this slot and its predecessors have named as leader in this epoch.
+	nextStep uint64
 	// predecessorEnd is the time by which the earlier process of this slot had ended, or zero once none of its orders
 	// can be pending.
 	predecessorEnd time.Time
@@ -55,6 +75,8 @@
 	unresolvedArm, unresolvedDisarm, unresolvedRelease *unresolvedOrder
 	// guardedStep is the step at which this process ordered its engine to hold as a guard, or zero after its release.
 	guardedStep uint64
+	// orderedHold is the latest step that this process ordered its engine to hold as a guard.
+	orderedHold uint64
 	// noOpMap is a map that changes nothing at this rank, and noOpVersion the latest version under which it was prepared.
 	noOpMap     [][][]int
 	noOpVersion uint64
@@ -64,8 +86,8 @@
 	following Attempt
 	// prepareAccepted means that the engine accepted the attempt's prepare order, refused that it refused an order.
 	prepareAccepted, refused bool
-	// highestNumber is the highest known number of an attempt.
-	highestNumber uint64
+	// highestNumber is the highest known number of an attempt, and highestVersion that of a map in one.
+	highestNumber, highestVersion uint64
 	// rankStates holds the latest state of each rank, including the own one.
 	rankStates map[int]receivedState
 	leader     leader
@@ -86,6 +108,23 @@
 	// mayAbort reports whether an attempt may be aborted while a release of an earlier leader may be pending, given
 	// whether the guard holds the step.
 	mayAbort func(guardHolds bool) bool
+	// The others are weakened if they are set.
+	// withoutGuard makes a deputy abort without a guard.
+	withoutGuard bool
+	// withoutEpoch omits the epoch in orders to engines of other ranks.
+	withoutEpoch bool
+	// withoutStep omits the step in releases of other ranks' engines, which then release any.
+	withoutStep bool
+	// withoutNoOpMap counts a silent rank that is not armed as one that can't be armed.
+	withoutNoOpMap bool
+	// reuseSteps allows a leader to name a step again.
+	reuseSteps bool
+	// releaseOnAnyEnd makes a restarted guard release its engine at the end of any attempt for the step.
+	releaseOnAnyEnd bool
+	// keepReports counts reports of silent ranks from before the abort.
+	keepReports bool
+	// ignoreOutdated counts a report from before the latest order as current.
+	ignoreOutdated bool
 }
 
 var safeRules = rules{
@@ -115,17 +154,23 @@
 func New(now time.Time, incarnation uint64) *Core {
 	return &Core{
 		rules: safeRules, incarnation: incarnation, rankStates: map[int]receivedState{}, predecessorEnd: now, started: now,
-		leader: leader{state: leadChart.Start},
+		leader: leader{state: leadChart.Start}, unixMilli: time.Time.UnixMilli,
 	}
 }
 
 // UpdateEngine updates the engine's state from a report that was read while no order was in progress.
 func (c *Core) UpdateEngine(now time.Time, e Engine) {
 	restarted := c.engineKnown && (e.StartUnixMilli != c.engine.StartUnixMilli || e.Group != c.engine.Group || e.Epoch != c.engine.Epoch)
+	c.noteCall(now)
+	c.reportOutdated = false
+	if restarted || !c.engineKnown {
+		c.nextStep = e.Step + maxAhead(e.Size) + 1
+	}
 	if restarted {
 		c.prepareAccepted, c.refused = false, false
 		// Orders name their epoch, so orders for an earlier one are no longer carried out.
 		c.predecessorEnd, c.unresolvedArm, c.unresolvedDisarm, c.unresolvedRelease, c.guardedStep = time.Time{}, nil, nil, nil, 0
+		c.orderedHold = 0
 		clear(c.rankStates)
 		c.endAttempt("the group has a new incarnation")
 	}
@@ -139,6 +184,7 @@
 	if !c.engineKnown || s.Group != c.engine.Group {
 		return
 	}
+	c.noteCall(now)
 	c.highestNumber = max(c.highestNumber, s.Ballot.Number)
 	if s.Epoch == c.engine.Epoch && s.Rank != c.engine.Rank {
 		c.rankStates[s.Rank] = receivedState{State: s, receivedAt: now}
@@ -153,11 +199,16 @@
 // NextOrder returns the order to send now, or nil. The caller must pass the order's end to OrderDone before it
 // passes a report that was read later to UpdateEngine.
 func (c *Core) NextOrder(now time.Time) *Order {
+	c.noteCall(now)
 	c.updateLeader(now)
 	o := c.desiredOrder(now)
 	c.inFlight = o
-	if o != nil && o.Kind == OrderRelease {
+	switch {
+	case o == nil:
+	case o.Kind == OrderRelease:
 		c.guardedStep = 0
+	case o.Kind == OrderHold && !c.IsLeader():
+		c.orderedHold = o.Step
 	}
 	return o
 }
@@ -166,6 +217,7 @@
 func (c *Core) OrderDone(now time.Time, refused, unknown bool) {
 	o := c.inFlight
 	c.inFlight = nil
+	c.reportOutdated = true
 	switch {
 	case o == nil:
 		return
@@ -206,6 +258,7 @@
 		NoPendingOrders: c.noPendingOrders(now), NoPendingDisarm: !c.disarmPending(now) && !c.predecessorArmPending(now),
 		Ballot: c.following.Ballot, Phase: c.following.Phase, Refused: c.refused,
 		NoPendingRelease: c.noPendingRelease(now),
+		Engine:           c.engineAddress,
 		Guarding:         c.guardedStep != 0 && c.guardedStep == e.HeldStep && c.noPendingRelease(now),
 	}
 }
@@ -215,6 +268,11 @@
 	return c.engineKnown
 }
 
+// SetEngineAddress sets the address at which other slots reach the engine.
+func (c *Core) SetEngineAddress(a netip.AddrPort) {
+	c.engineAddress = a
+}
+
 // Rank returns the rank of the engine.
 func (c *Core) Rank() int {
 	return c.engine.Rank
--- a/internal/group/hold/follow.go
+++ b/internal/group/hold/follow.go
@@ -4,6 +4,7 @@
 
 // follow adopts an attempt with a higher ballot or a later phase than the followed one.
 func (c *Core) follow(a *Attempt) {
+	c.highestVersion = max(c.highestVersion, a.Version)
 	ballotOrder := a.Compare(c.following.Ballot)
 	if ballotOrder == 0 && a.Phase == c.following.Phase && c.following.Map == nil {
 		// The leader omits the map for ranks that have it, and may mistake a restarted slot for one of them.
@@ -12,7 +13,7 @@
 	if ballotOrder < 0 || ballotOrder == 0 && a.Phase <= c.following.Phase {
 		return
 	}
-	previous := c.following
+	previous, applied := c.following, c.attemptApplies()
 	c.following = *a
 	if ballotOrder == 0 {
 		if a.Map == nil {
@@ -20,6 +21,9 @@
 		}
 		return
 	}
+	if !applied || previous.Phase == PhaseEnded {
+		c.switchSince = c.calledAt
+	}
 	c.refused, c.prepareAccepted = false, false
 	c.highestNumber = max(c.highestNumber, a.Number)
 }
@@ -40,7 +44,7 @@
 
 // desiredOrder returns the order to send to the own engine next, or nil.
 func (c *Core) desiredOrder(now time.Time) *Order {
-	if !c.engineKnown || !c.engine.Open || c.inFlight != nil {
+	if !c.engineKnown || !c.engine.Open || c.inFlight != nil || c.reportOutdated && !c.rules.ignoreOutdated {
 		return nil
 	}
 	if o := c.desiredLeaderOrder(); o != nil {
@@ -81,12 +85,16 @@
 			return c.withEpoch(Order{Kind: OrderHold, Step: f.Step})
 		}
 	case PhaseAbort:
-		if c.engine.Armed != 0 {
+		// A delayed attempt must not disarm a rank for a later step.
+		if c.engine.Armed != 0 && c.engine.ArmedStep == f.Step {
 			return c.withEpoch(Order{Kind: OrderDisarm, Version: c.engine.Armed})
 		}
 	case PhaseEnded:
-		// The hold is a guard's or a delayed one. Its release is safe: no rank is armed, or all stay armed.
-		if c.engine.HeldStep != 0 && !c.IsLeader() {
+		// The hold is a guard's or a delayed one. Its release is safe if no rank is armed for the step or can be. If all ranks
+		// stay armed, it is safe unless an attempt with a higher ballot has asked for the guard, which only the process that
+		// was asked knows.
+		permitted := f.Aborted || c.orderedHold == f.Step || c.rules.releaseOnAnyEnd
+		if c.engine.HeldStep != 0 && c.engine.HeldStep == f.Step && permitted && !c.IsLeader() {
 			return c.withEpoch(Order{Kind: OrderRelease, Step: c.engine.HeldStep})
 		}
 	}
--- a/internal/group/hold/hold_test.go
+++ b/internal/group/hold/hold_test.go
@@ -12,6 +12,9 @@
 // walks is the number of random schedules in each test.
 var walks = flag.Int("walks", 400, "random schedules of each test")
 
+// firstSeed is the seed of the first schedule, so that several processes can share a large number of them.
+var firstSeed = flag.Uint64("first", 0, "seed of the first schedule")
+
 const (
 	// scheduleLength is the number of events in a schedule.
 	scheduleLength = 4000
@@ -24,8 +27,9 @@
 // restarted slots and new group incarnations, and checks that all ranks begin each step with the same map.
 func TestEveryStepHasOneMap(t *testing.T) {
 	is := is.New(t)
-	switches := 0
-	for seed := range uint64(*walks) {
+	switches, remoteOrders := 0, 0
+	for i := range uint64(*walks) {
+		seed := *firstSeed + i
 		w := newWorld(seed, nil)
 		for range scheduleLength {
 			if w.randomEvent(); w.violation != "" {
@@ -33,25 +37,28 @@
 			}
 		}
 		switches += w.switches
+		remoteOrders += w.remoteOrders
 	}
-	t.Logf("%d switches in %d schedules", switches, *walks)
-	// Schedules without switches would prove nothing.
+	t.Logf("%d switches and %d orders to other ranks in %d schedules", switches, remoteOrders, *walks)
+	// Schedules without switches or without recoveries would prove nothing.
 	is.True(2*switches > *walks)
+	is.True(2*remoteOrders > *walks)
 }
 
 // TestGroupRecoversAfterFaults ends all faults at different moments: no hold may remain, and the next switch must succeed.
 func TestGroupRecoversAfterFaults(t *testing.T) {
-	for seed := range uint64(*walks) {
+	for i := range uint64(*walks) {
+		seed := *firstSeed + i
 		w := newWorld(seed, nil)
-		for range 200 + int(seed) {
+		for range 200 + int(seed%4000) {
 			w.randomEvent()
 		}
 		w.runWithoutFaults(recoveryRounds)
-		if held := w.engines[0].HeldStep; held != 0 || !w.slots[0].Ready(w.now) {
-			t.Fatalf("seed %d: held at %d, leader %s, ready %v", seed, held, w.slots[0].leader.state, w.slots[0].Ready(w.now))
+		if held := w.engines[0].HeldStep; held != 0 || !w.slots[0].Ready(w.time(0)) {
+			t.Fatalf("seed %d: held at %d, leader %s, ready %v", seed, held, w.slots[0].leader.state, w.slots[0].Ready(w.time(0)))
 		}
 		before := w.switches
-		w.slots[0].Begin(w.now, [][][]int{{{0}, {1}, {2}}})
+		w.slots[0].Begin(w.time(0), [][][]int{{{0}, {1}, {2}}})
 		w.runWithoutFaults(40)
 		if w.switches != before+1 || w.violation != "" {
 			t.Fatalf("seed %d: %d switches, leader %s, violation %q", seed, w.switches-before, w.slots[0].leader.state, w.violation)
@@ -68,6 +75,8 @@
 		{"pending arm orders are ignored", func(c *Core) { c.rules.expired = func(time.Duration) bool { return true } }},
 		{"released while a rank is not armed", func(c *Core) { c.rules.unanimous = func(armed, ranks int) bool { return armed >= ranks-1 } }},
 		{"a missing answer proves that no release is pending", func(c *Core) { c.rules.missingAnswerAborts = func() bool { return true } }},
+		{"a deputy aborts without a guard", func(c *Core) { c.rules.withoutGuard = true }},
+		{"a silent rank without a map that changes nothing", func(c *Core) { c.rules.withoutNoOpMap = true }},
 	}
 	for _, v := range tests {
 		t.Run(v.name, func(t *testing.T) {
@@ -90,7 +99,7 @@
 	is := is.New(t)
 	w := newWorld(1, nil)
 	w.runWithoutFaults(5)
-	is.True(w.slots[0].Begin(w.now, [][][]int{{{0}, {1}, {2}}}))
+	is.True(w.slots[0].Begin(w.time(0), [][][]int{{{0}, {1}, {2}}}))
 	w.runWithoutFaults(8)
 	is.Equal(w.switches, 1)
 	is.Equal(w.slots[0].leader.state, stateResting)
@@ -148,7 +157,7 @@
 	t.Helper()
 	w := newWorld(1, weaken)
 	w.runWithoutFaults(recoveryRounds)
-	w.slots[0].Begin(w.now, [][][]int{{{0}, {1}, {2}}})
+	w.slots[0].Begin(w.time(0), [][][]int{{{0}, {1}, {2}}})
 	armed := func() bool {
 		for _, e := range w.engines {
 			if e.Armed == 0 {
@@ -196,7 +205,7 @@
 	w.runWithoutFaults(10)
 	is.Equal(w.slots[0].leader.state, stateSettling)
 	for rank := range worldRanks {
-		is.True(!w.slots[rank].HasNextOrder(w.now))
+		is.True(!w.slots[rank].HasNextOrder(w.time(rank)))
 	}
 	w.runWithoutFaults(recoveryRounds)
 	is.Equal(w.engines[0].HeldStep, uint64(0))
@@ -243,7 +252,7 @@
 func TestFrozenRankDoesNotHoldTheGroup(t *testing.T) {
 	w := newWorld(1, nil)
 	w.runWithoutFaults(recoveryRounds)
-	w.slots[0].Begin(w.now, [][][]int{{{0}, {1}, {2}}})
+	w.slots[0].Begin(w.time(0), [][][]int{{{0}, {1}, {2}}})
 	for round := 0; w.engines[1].Armed == 0; round++ {
 		if round == recoveryRounds {
 			t.Fatal("rank 1 is not armed")
--- a/internal/group/hold/lead.go
+++ b/internal/group/hold/lead.go
@@ -6,8 +6,9 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/base/chart"
 )
 
-// leader is the state of rank 0's slot as the leader.
+// leader is the state of a slot as the leader: that of rank 0 or a deputy that acts as leader.
 type leader struct {
+	lead
 	// state is a state of the lead chart.
 	state chart.State
 	// attempt is the current attempt or, while state is resting, the last one, in PhaseEnded.
@@ -16,6 +17,23 @@
 	holdStep uint64
 	// deadline is when the current state times out.
 	deadline time.Time
+	// endedAt is the end of the last attempt, and ballotSince the start of the latest ballot.
+	endedAt, ballotSince time.Time
+}
+
+// lead is the part of the leader's state that starts anew with each switch and each recovery.
+type lead struct {
+	// since is the start.
+	since time.Time
+	// acting means that this slot is a deputy.
+	acting bool
+	// aborted means that the switch is not completed: no rank is armed at its end.
+	aborted bool
+	// renumbered means that the attempt has got a higher ballot than at the start.
+	renumbered bool
+	// remote holds what is known of silent ranks from their engines since round has last changed.
+	remote map[int]*remoteRank
+	round  int
 }
 
 // IsLeader reports whether this slot is the leader, which begins switches.
@@ -23,10 +41,10 @@
 	return c.engineKnown && c.engine.Rank == 0 && c.engine.Group != ""
 }
 
-// Ready reports whether a switch may begin: all ranks are open and use the same map, and none is armed, holds the group
-// or has a pending order.
+// Ready reports whether a switch may begin: all ranks are open and use the same map, none is armed, holds the group
+// or has a pending order, and no attempt of another slot is in progress.
 func (c *Core) Ready(now time.Time) bool {
-	if !c.IsLeader() || c.leader.state != stateResting || !c.engine.Open {
+	if !c.IsLeader() || c.leader.state != stateResting || !c.engine.Open || !c.mayNameStep() || c.unended(now) {
 		return false
 	}
 	return c.allRanks(now, func(s State) bool {
@@ -78,6 +96,7 @@
 	}
 	version := c.newVersion(now)
 	c.transition("begin")
+	c.leader.lead = lead{since: now, remote: map[int]*remoteRank{}}
 	c.startAttempt(Attempt{Phase: PhasePrepare, Version: version, Map: sets})
 	c.leader.holdStep, c.leader.deadline = 0, now.Add(prepareTimeout)
 	c.addChange("begin", "")
@@ -89,6 +108,7 @@
 	c.highestNumber++
 	a.Ballot = Ballot{Number: c.highestNumber, LeaderIncarnation: c.incarnation}
 	a.Group, a.Epoch = c.engine.Group, c.engine.Epoch
+	c.leader.ballotSince = c.calledAt
 	c.leader.attempt = a
 	c.follow(&a)
 }
@@ -105,7 +125,8 @@
 
 // Published returns the attempt to send to the other ranks, or nil.
 func (c *Core) Published() *Attempt {
-	if c.leader.attempt.Phase == PhaseNone {
+	superseded := c.leader.state == stateResting && c.following.Compare(c.leader.attempt.Ballot) > 0
+	if c.leader.attempt.Phase == PhaseNone || superseded {
 		return nil
 	}
 	a := c.leader.attempt
@@ -126,21 +147,27 @@
 	if c.leader.state == stateResting {
 		return
 	}
+	c.leader.attempt.Aborted = c.leader.state == stateReleasing && c.leader.aborted
 	c.transition("end")
+	c.leader.endedAt = c.calledAt
 	c.setPhase(PhaseEnded)
 	c.addChange("end", reason)
+	c.leader.acting, c.leader.remote = false, nil
 }
 
 // updateLeader advances the leader's chart as far as the ranks' states allow.
 func (c *Core) updateLeader(now time.Time) {
-	if !c.IsLeader() {
-		c.endAttempt("another rank leads")
+	if !c.engineKnown || c.engine.Group == "" {
 		return
 	}
 	c.rankStates[c.engine.Rank] = receivedState{State: c.State(now), receivedAt: now}
-	c.renumber()
+	c.handleHigherBallot(now)
 	switch c.leader.state {
 	case stateResting:
+		if !c.IsLeader() {
+			c.considerActing(now)
+			return
+		}
 		c.recoverHold(now)
 	case statePreparing:
 		c.updatePreparing(now)
@@ -155,44 +182,17 @@
 	case stateAborting:
 		c.updateAborting(now)
 	case stateReleasing:
-		if c.engine.HeldStep == 0 && c.inFlight == nil {
+		// A deputy's own engine holds as a guard until the end.
+		ownReleased := !c.IsLeader() || !c.mustRelease() && c.inFlight == nil
+		if ownReleased && (!c.leader.aborted || c.every(now, c.released)) {
 			c.endAttempt("released")
 		}
 	}
 }
 
-// renumber gives the attempt a new number if a higher one than its own is known, in the states whose attempt all ranks
-// must follow.
-func (c *Core) renumber() {
-	mandatory := c.leader.state == stateSettling || c.leader.state == stateGuarding || c.leader.state == stateAborting
-	if mandatory && c.highestNumber > c.leader.attempt.Number {
-		c.startAttempt(c.leader.attempt)
-	}
-}
-
-// recoverHold starts an attempt to end a hold that an earlier process of this slot left, at its own engine or a guard's.
-func (c *Core) recoverHold(now time.Time) {
-	step := c.engine.HeldStep
-	if step == 0 && c.leader.attempt.Phase == PhaseNone {
-		step = c.heldElsewhere(now)
-	}
-	if step == 0 || c.inFlight != nil {
-		return
-	}
-	c.transition("found")
-	c.leader.holdStep = step
-	c.startAttempt(Attempt{Phase: PhaseSettle, Step: step})
-	c.addChange("settle", "an engine holds and no attempt is in progress")
-}
-
-// heldElsewhere returns the step that another rank's engine holds, or zero.
-func (c *Core) heldElsewhere(now time.Time) (step uint64) {
-	for rank := range c.rankStates {
-		if s, ok := c.recentState(now, rank); ok && rank != c.engine.Rank {
-			step = max(step, s.HeldStep)
-		}
-	}
-	return step
+// mustRelease reports whether the own engine holds the step of the attempt or, if no rank is armed for any, an earlier one.
+func (c *Core) mustRelease() bool {
+	return c.engine.HeldStep != 0 && (c.engine.HeldStep == c.leader.holdStep || c.leader.aborted)
 }
 
 func (c *Core) updatePreparing(now time.Time) {
@@ -246,90 +246,15 @@
 		c.addChange("release", "all ranks are armed")
 	case now.After(c.leader.deadline), c.anyRank(func(s State) bool { return c.followsAttempt(s) && s.Refused }):
 		c.abort("not all ranks armed")
+	case !c.every(now, func(now time.Time, rank int) bool { return c.armedOrHeard(now, rank) }):
+		c.abort("a rank that is not armed is silent")
 	}
 }
 
-// updateSettling ends a hold that an earlier process left. A leader releases an attempt only if all ranks are armed,
-// and aborts it only while some rank is not. So one rank that is not armed proves that no release is pending, while a
-// missing answer proves nothing. If all ranks are armed but a pending order may disarm one, neither a release nor an
-// abort is known to be safe; a guard makes an abort safe.
-func (c *Core) updateSettling(now time.Time) {
-	if c.tryResolve(now) {
-		return
-	}
-	if !c.allArmed(now, c.engine.Armed, c.leader.holdStep) || c.engine.HeldStep == 0 && c.heldElsewhere(now) == 0 {
-		return
-	}
-	if guard, ok := c.nextGuard(now); ok {
-		c.transition("guard")
-		c.requestGuard(now, guard)
-	}
-}
-
-// tryResolve releases the group if all ranks are armed and stay so, aborts if some rank is not armed, and otherwise
-// returns false.
-func (c *Core) tryResolve(now time.Time) bool {
-	version := c.engine.Armed
-	switch {
-	case version != 0 && c.allArmed(now, version, c.leader.holdStep) && c.allStayArmed(now):
-		c.transition("all")
-		c.addChange("release", "all ranks are armed")
-	case version == 0, c.rules.missingAnswerAborts(), c.anyRank(func(s State) bool { return c.followsAttempt(s) && s.Armed != version }):
-		c.abort("not all ranks are armed")
-	default:
-		return false
-	}
-	return true
-}
-
-// nextGuard returns the next rank after the current guard that no pending order can release, the leader's excluded.
-// It returns false if there is none.
-func (c *Core) nextGuard(now time.Time) (rank int, ok bool) {
-	for i := range c.engine.Size {
-		rank = (c.leader.attempt.Guard + 1 + i) % c.engine.Size
-		if s, ok := c.recentState(now, rank); ok && s.NoPendingRelease && rank != c.engine.Rank {
-			return rank, true
-		}
-	}
-	return 0, false
-}
-
-// requestGuard asks a rank to hold the step in addition to the leader.
-func (c *Core) requestGuard(now time.Time, rank int) {
-	a := c.leader.attempt
-	a.Phase, a.Guard = PhaseGuard, rank
-	c.leader.deadline = now.Add(armTimeout)
-	c.startAttempt(a)
-	c.addChange("guard", "a pending order may disarm a rank")
-}
-
-// updateGuarding aborts once a guard holds the step: until the guard releases it at the end of the attempt, no step can
-// begin in which ranks use different maps.
-func (c *Core) updateGuarding(now time.Time) {
-	s, ok := c.recentState(now, c.leader.attempt.Guard)
-	if c.rules.mayAbort(ok && c.followsAttempt(s) && s.Guarding && s.HeldStep == c.leader.holdStep) {
-		c.abort("a guard holds")
-		return
-	}
-	if c.tryResolve(now) || !now.After(c.leader.deadline) {
-		return
-	}
-	if guard, ok := c.nextGuard(now); ok {
-		c.requestGuard(now, guard)
-	}
-}
-
-func (c *Core) abort(reason string) {
-	c.transition("failed")
-	c.setPhase(PhaseAbort)
-	c.addChange("abort", reason)
-}
-
-func (c *Core) updateAborting(now time.Time) {
-	if c.allRanks(now, func(s State) bool { return c.followsAttempt(s) && s.NoPendingOrders && s.Armed == 0 }) {
-		c.transition("all")
-		c.addChange("release", "no rank is armed")
-	}
+// armedOrHeard reports whether a rank is armed, or its slot is not silent and may still arm it.
+func (c *Core) armedOrHeard(now time.Time, rank int) bool {
+	s, ok := c.recentState(now, rank)
+	return ok && c.followsAttempt(s) && s.Armed == c.leader.attempt.Version || !c.silent(now, rank)
 }
 
 // desiredLeaderOrder returns the order that the leader's state requires at its own engine, or nil.
@@ -338,14 +263,37 @@
 	case stateHolding:
 		if c.engine.HeldStep == 0 {
 			if c.leader.holdStep == 0 {
-				c.leader.holdStep = c.engine.Step + minStepMargin + uint64(c.engine.Size/ranksPerStep)
+				if !c.mayNameStep() {
+					return nil
+				}
+				c.leader.holdStep = max(c.engine.Step+minMargin(c.engine.Size), c.nextStep)
+				if c.rules.reuseSteps {
+					c.leader.holdStep = c.engine.Step + minMargin(c.engine.Size)
+				}
+				c.nextStep = c.leader.holdStep + 1
 			}
 			return c.withEpoch(Order{Kind: OrderHold, Step: c.leader.holdStep})
 		}
 	case stateReleasing:
-		if c.engine.HeldStep != 0 {
+		if c.IsLeader() && c.mustRelease() {
 			return c.withEpoch(Order{Kind: OrderRelease, Step: c.engine.HeldStep})
 		}
 	}
 	return nil
 }
+
+// minMargin returns the least number of steps from the latest one to the switch.
+func minMargin(size int) uint64 {
+	return minStepMargin + uint64(size/ranksPerStep)
+}
+
+// maxAhead returns the largest number of steps from the latest one to a step that a leader names.
+func maxAhead(size int) uint64 {
+	return minMargin(size) + maxExtraSteps
+}
+
+// mayNameStep reports whether a step that no attempt has named is near enough. No step is held twice in an epoch, so a delayed
+// release never matches a later hold. Of its predecessors a leader knows only that they have named no step beyond maxAhead.
+func (c *Core) mayNameStep() bool {
+	return c.nextStep <= c.engine.Step+maxAhead(c.engine.Size) || c.rules.reuseSteps
+}
--- a/internal/group/hold/pending.go
+++ b/internal/group/hold/pending.go
@@ -44,7 +44,8 @@
 
 // noPendingOrders reports whether no order is in progress and no earlier one can still arm or disarm the rank.
 func (c *Core) noPendingOrders(now time.Time) bool {
-	return c.inFlight == nil && !c.armPending(now) && !c.disarmPending(now)
+	current := !c.reportOutdated || c.rules.ignoreOutdated
+	return c.inFlight == nil && current && !c.armPending(now) && !c.disarmPending(now)
 }
 
 // disarmPending reports whether an unresolved disarm order can still disarm the rank.
@@ -90,9 +91,12 @@
 // newVersion returns a version above all known ones. An engine refuses any version that it has ever had, even in an
 // earlier incarnation of the group, which no report shows; the current time in milliseconds exceeds those too.
 func (c *Core) newVersion(now time.Time) uint64 {
-	version := max(c.engine.MapVersion, c.engine.Prepared, c.leader.attempt.Version, c.noOpVersion)
+	version := max(c.engine.MapVersion, c.engine.Prepared, c.highestVersion, c.noOpVersion)
 	for _, h := range c.rankStates {
 		version = max(version, h.MapVersion, h.Prepared)
 	}
-	return max(version+1, uint64(now.UnixMilli()))
+	for _, r := range c.leader.remote {
+		version = max(version, r.report.MapVersion, r.report.Prepared)
+	}
+	return max(version+1, uint64(c.unixMilli(now)))
 }
--- a/internal/group/hold/world_test.go
+++ b/internal/group/hold/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"time"
 )
@@ -22,19 +23,28 @@
 	engines        [worldRanks]Engine
 	highestVersion [worldRanks]uint64
 	slots          [worldRanks]*Core
+	// pauses holds what the platform does to each slot beside restarts.
+	pauses [worldRanks]pause
 	// sequence counts the datagrams of each slot process; lastSeen holds the latest that each slot received from each peer.
 	sequence     [worldRanks]uint64
 	lastSeen     [worldRanks][worldRanks]datagramID
 	datagrams    []datagram
 	delayed      []delayedOrder
 	incarnations uint64
-	// faults enables lost answers and delayed orders, restarts of slots and new group incarnations.
+	// faults enables lost answers and delayed orders, restarts and freezes of slots and new group incarnations.
 	faults bool
+	// smallSteps makes time pass in small steps, in which slots find others silent, in place of more restarts and expired orders.
+	smallSteps bool
 	// weaken changes the rules of a new slot, or is nil.
 	weaken func(*Core)
-	// switches counts the maps that came into use; violation describes the first step with different maps, if any.
-	switches  int
-	violation string
+	// intercept returns true for an order that is lost, or that it delays itself; nil intercepts none.
+	intercept func(rank int, o Order) bool
+	// fault is called before and after each order of a slot to its own engine. It returns true if the slot does not go on; a
+	// frozen one does by thaw. It is nil unless a test sets it.
+	fault func(rank int, kind OrderKind, after bool, thaw func()) bool
+	// switches counts the maps that came into use, and remoteOrders the orders to engines of other ranks; violation describes the first step with different maps, if any.
+	switches, remoteOrders int
+	violation              string
 }
 
 type datagramID struct{ incarnation, sequence uint64 }
@@ -53,7 +63,7 @@
 }
 
 func newWorld(seed uint64, weaken func(*Core)) *world {
-	w := &world{random: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1_700_000_000, 0), faults: true, weaken: weaken}
+	w := &world{random: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1_700_000_000, 0), faults: true, weaken: weaken, smallSteps: seed%2 == 1}
 	for r := range worldRanks {
 		w.engines[r] = Engine{Group: "g", Epoch: 1, Rank: r, Size: worldRanks, Open: true, Step: 10}
 		w.restart(r)
@@ -64,8 +74,11 @@
 // restart replaces a slot by a new process without state.
 func (w *world) restart(rank int) {
 	w.incarnations++
-	c := New(w.now, w.incarnations)
+	w.pauses[rank] = pause{lag: w.pauses[rank].lag, cut: w.pauses[rank].cut}
+	c := New(w.time(rank), w.incarnations)
+	c.SetEngineAddress(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(rank)}), 8000))
 	c.SetNoOpMap([][][]int{{{0}, {1}, {2}}})
+	c.unixMilli = func(time.Time) int64 { return w.now.UnixMilli() }
 	if w.weaken != nil {
 		w.weaken(c)
 	}
@@ -74,10 +87,15 @@
 	w.lastSeen[rank] = [worldRanks]datagramID{}
 }
 
+// time returns the time by a slot's clock.
+func (w *world) time(rank int) time.Time {
+	return w.now.Add(-w.pauses[rank].lag)
+}
+
 // execute carries out an order at an engine, and reports whether the engine refuses it.
 func (w *world) execute(rank int, o Order) (refused bool) {
 	e := &w.engines[rank]
-	if o.Epoch != e.Epoch {
+	if o.Epoch != 0 && o.Epoch != e.Epoch {
 		return true
 	}
 	switch o.Kind {
@@ -104,7 +122,7 @@
 		}
 		e.HeldStep = o.Step
 	case OrderRelease:
-		if e.HeldStep != o.Step {
+		if o.Step != 0 && e.HeldStep != o.Step {
 			return true
 		}
 		e.HeldStep = 0
@@ -138,36 +156,68 @@
 	}
 }
 
-// reform starts a new group incarnation.
+// startIncarnation starts a new group incarnation, which may count its steps anew.
 func (w *world) startIncarnation() {
+	restartSteps := w.random.IntN(2) == 0
 	for r := range w.engines {
 		e := &w.engines[r]
 		e.Epoch++
 		e.MapVersion, e.Prepared, e.Armed, e.ArmedStep, e.HeldStep = 0, 0, 0, 0, 0
+		if restartSteps {
+			e.Step = 10
+		}
 	}
 }
 
-// runSlot lets a slot read its engine, send at most four orders and publish its state.
+// runSlot lets a slot read its engine, send at most four orders, call the engines of silent ranks and publish its state.
+// A fault may freeze it at any point; it continues from there once it is thawed.
 func (w *world) runSlot(rank int) {
+	if w.pauses[rank].frozen {
+		return
+	}
 	c := w.slots[rank]
-	c.UpdateEngine(w.now, w.engines[rank])
+	report := w.engines[rank]
+	if w.freezes(rank, func() { c.UpdateEngine(w.time(rank), report); w.publish(rank) }) {
+		return
+	}
+	c.UpdateEngine(w.time(rank), report)
 	for range 4 {
-		o := c.NextOrder(w.now)
+		o := c.NextOrder(w.time(rank))
 		if o == nil {
 			break
 		}
+		send := func() {
+			refused, unknown := w.sendOrder(rank, *o)
+			c.OrderDone(w.time(rank), refused, unknown)
+			w.publish(rank)
+		}
+		if w.freezes(rank, send) || w.fault != nil && w.fault(rank, o.Kind, false, send) {
+			return
+		}
 		refused, unknown := w.sendOrder(rank, *o)
-		c.OrderDone(w.now, refused, unknown)
-		c.UpdateEngine(w.now, w.engines[rank])
+		done := func() { c.OrderDone(w.time(rank), refused, unknown); w.publish(rank) }
+		if w.freezes(rank, done) || w.fault != nil && w.fault(rank, o.Kind, true, done) {
+			return
+		}
+		c.OrderDone(w.time(rank), refused, unknown)
+		c.UpdateEngine(w.time(rank), w.engines[rank])
 		if refused || unknown {
 			break
 		}
 	}
+	for range worldRanks {
+		if !w.callRemote(rank) {
+			return
+		}
+	}
 	w.publish(rank)
 }
 
 // sendOrder carries out an order immediately; a fault may lose the answer, delay the order or lose the order.
 func (w *world) sendOrder(rank int, o Order) (refused, unknown bool) {
+	if w.intercept != nil && w.intercept(rank, o) {
+		return false, true
+	}
 	if w.faults && w.random.IntN(5) == 0 {
 		switch w.random.IntN(3) {
 		case 0:
@@ -188,10 +238,13 @@
 	for to := range worldRanks {
 		if to != rank {
 			w.datagrams = append(w.datagrams, datagram{
-				from: rank, to: to, incarnation: c.incarnation, sequence: w.sequence[rank], state: c.State(w.now), attempt: c.Published(),
+				from: rank, to: to, incarnation: c.incarnation, sequence: w.sequence[rank], state: c.State(w.time(rank)), attempt: c.Published(),
 			})
 		}
 	}
+	if w.pauses[rank].cut {
+		w.datagrams = slices.DeleteFunc(w.datagrams, func(d datagram) bool { return d.from == rank })
+	}
 	if len(w.datagrams) > 40 {
 		w.datagrams = slices.Delete(w.datagrams, 0, len(w.datagrams)-40)
 	}
@@ -201,17 +254,32 @@
 func (w *world) deliver(i int) {
 	d := w.datagrams[i]
 	w.datagrams = slices.Delete(w.datagrams, i, i+1)
+	if w.pauses[d.to].cut {
+		return
+	}
+	if w.pauses[d.to].frozen {
+		// A socket may keep the datagram until the slot is thawed.
+		if w.faults && w.random.IntN(2) == 0 {
+			w.datagrams = append(w.datagrams, d)
+		}
+		return
+	}
 	known := &w.lastSeen[d.to][d.from]
 	if known.incarnation > d.incarnation || known.incarnation == d.incarnation && known.sequence >= d.sequence {
 		return
 	}
 	*known = datagramID{incarnation: d.incarnation, sequence: d.sequence}
-	w.slots[d.to].ReceiveState(w.now, d.state, d.attempt)
+	w.slots[d.to].ReceiveState(w.time(d.to), d.state, d.attempt)
 }
 
 // advanceTime advances the clock and carries out the delayed orders that are due.
 func (w *world) advanceTime(d time.Duration) {
 	w.now = w.now.Add(d)
+	for r := range w.pauses {
+		if p := &w.pauses[r]; p.frozen && p.steady {
+			p.lag += d
+		}
+	}
 	w.delayed = slices.DeleteFunc(w.delayed, func(o delayedOrder) bool {
 		due := !o.due.After(w.now)
 		if due {
@@ -231,21 +299,31 @@
 	case n < 80:
 		w.beginStep()
 	case n < 88:
-		w.advanceTime(time.Duration(w.random.Int64N(int64(60 * time.Millisecond))))
+		w.advanceTime(time.Duration(w.random.Int64N(int64(100 * time.Millisecond))))
+	case n < 90 && w.smallSteps && w.random.IntN(8) != 0:
+		w.advanceTime(time.Duration(w.random.Int64N(int64(pauseLimit))))
 	case n < 90:
 		w.advanceTime(time.Duration(w.random.Int64N(int64(3 * time.Second))))
-	case n < 91 && w.faults:
+	case n < 91 && w.faults && (!w.smallSteps || w.random.IntN(4) == 0):
 		w.restart(w.random.IntN(worldRanks))
 	case n == 91 && w.faults && w.random.IntN(20) == 0:
 		w.startIncarnation()
+	case n < 93 && w.faults && w.smallSteps:
+		w.faultEvent()
 	case n < 97:
-		w.slots[0].Begin(w.now, [][][]int{{{0}, {1}, {2}}})
+		if !w.pauses[0].frozen {
+			w.slots[0].Begin(w.time(0), [][][]int{{{0}, {1}, {2}}})
+		}
 	}
 }
 
 // runWithoutFaults ends all faults and runs all slots in turn for a number of 50 ms rounds.
 func (w *world) runWithoutFaults(rounds int) {
 	w.faults = false
+	for r := range worldRanks {
+		w.thaw(r)
+		w.pauses[r].cut = false
+	}
 	for range rounds {
 		for r := range worldRanks {
 			w.runSlot(r)
--- a/internal/process/sidecar/sidecar_send_test.go
+++ b/internal/process/sidecar/sidecar_send_test.go
@@ -87,6 +87,7 @@
 	// After a minute, no order of an earlier process can still be pending.
 	later := time.Now().Add(time.Minute)
 	p.Now = func() time.Time { return later }
+	f.state.Step++
 	is.NoErr(p.readEngine(t.Context()))
 	receive(other)
 	is.True(p.core.Begin(p.Now(), [][][]int{{{0, 1}, {2, 3}}}))
@@ -123,6 +124,7 @@
 	}
 	is.NoErr(p.readEngine(t.Context()))
 	now = now.Add(time.Minute)
+	f.state.Step++
 	is.NoErr(p.readEngine(t.Context()))
 	for r := 1; r < ranks; r++ {
 		s := hold.State{Incarnation: 7, Group: "g", Epoch: 1, Rank: r, Size: ranks, Open: true, Step: 40, MapVersion: 5, NoPendingOrders: true, NoPendingDisarm: true}
@@ -175,6 +177,7 @@
 	p.currentMap = patch.Map{Epoch: 1, Sets: initial}
 	is.NoErr(p.readEngine(t.Context()))
 	now = now.Add(time.Minute)
+	f.state.Step++
 	is.NoErr(p.readEngine(t.Context()))
 	address := func(rank int) netip.AddrPort {
 		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(rank)}), 7000)
