Send rank states to deputies and call the engines of silent ranks

Cause: deputies need the state of every rank, the addresses of all engines and a way to order them.

Change: each slot sends its state, with the address of its engine, to the slots of ranks 1 and 2, and deputies make themselves known to all slots. A deputy that acts gets states as often as the leader. Options.EngineAt makes the client of another rank's engine; the slot command passes platform.NewEngine.

--- a/internal/operator/commands/platform.go
+++ b/internal/operator/commands/platform.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime"
@@ -129,10 +130,12 @@
 	if err != nil {
 		return err
 	}
-	engine := platform.NewEngine(s.Engine)
+	engineAt := func(a netip.AddrPort) sidecar.Engine {
+		engine := platform.NewEngine(a)
+		return sidecar.Engine{Report: engine.Report, Counts: engine.Counts, Experts: engine.Experts, Order: engine.Order}
+	}
 	p := sidecar.New(sidecar.Options{
-		Settings:      s,
-		Engine:        sidecar.Engine{Report: engine.Report, Counts: engine.Counts, Experts: engine.Experts, Order: engine.Order},
+		Settings: s, Engine: engineAt(s.Engine), EngineAt: engineAt,
 		Configuration: platform.NewStore(s.Store).StaleConfiguration,
 		Log:           file.log, Incarnation: rand.Uint64(), Now: time.Now,
 	})
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -64,6 +64,9 @@
 type Options struct {
 	Settings *site.Settings
 	Engine   Engine
+	// EngineAt returns the functions that call the engine at an address, on another machine. They are called only to end a switch
+	// while the slot beside that engine is silent.
+	EngineAt func(netip.AddrPort) Engine
 	// Configuration reads the configuration, which may be stale or nil.
 	Configuration func(ctx context.Context) (*site.Configuration, error)
 	Log           *slog.Logger
@@ -85,12 +88,18 @@
 	transmit func(n *message.News, addresses []netip.AddrPort) error
 	// wake ends the wait of followEngine; it buffers one signal.
 	wake chan struct{}
+	// remoteCalls counts the calls in progress at engines of other ranks.
+	remoteCalls sync.WaitGroup
 
 	// mu guards the fields below.
-	mu      sync.Mutex
-	core    *hold.Core
-	mesh    *mesh.Mesh
-	planner *load.Planner
+	mu   sync.Mutex
+	core *hold.Core
+	// remoteEngines are the engines of other ranks that the present recovery calls, by address.
+	remoteEngines map[netip.AddrPort]Engine
+	// remoteErrors holds the latest logged error of each of them.
+	remoteErrors map[netip.AddrPort]string
+	mesh         *mesh.Mesh
+	planner      *load.Planner
 	// tally turns the engine's running totals into increments for the leader.
 	tally    load.Tally
 	sequence uint64
@@ -122,6 +131,9 @@
 	stateThrottleToRanks throttle[attemptKey]
 	stateThrottle        throttle[hold.State]
 	leaderSearchThrottle throttle[struct{}]
+	// deputyThrottles limits the datagrams with states to each deputy, and announceThrottle those of a deputy to all slots.
+	deputyThrottles  map[netip.AddrPort]throttle[hold.State]
+	announceThrottle throttle[struct{}]
 	// attemptBandwidth limits the bytes of attempts, and attemptsSent limits those to each slot.
 	attemptBandwidth *rate.Limiter
 	attemptsSent     map[netip.AddrPort]throttle[attemptKey]
@@ -133,11 +145,13 @@
 	p := &Process{
 		Options: o, metricSet: set, metrics: newProcessMetrics(set), wake: make(chan struct{}, 1), core: hold.New(o.Now(), o.Incarnation),
 		rankStates: map[netip.AddrPort]hold.State{}, knownMaps: map[netip.AddrPort]uint64{}, attemptsSent: map[netip.AddrPort]throttle[attemptKey]{},
+		deputyThrottles: map[netip.AddrPort]throttle[hold.State]{}, remoteEngines: map[netip.AddrPort]Engine{}, remoteErrors: map[netip.AddrPort]string{},
 		attemptBandwidth: rate.NewLimiter(rate.Limit(attemptLinkShare*linkRate(o.Settings)), attemptBurst),
 		mesh:             mesh.New(mesh.Peer{Address: o.Settings.Peers, Centre: o.Settings.Centre, Slot: true}, relaySilence, o.Settings.Seeds),
 		suspects:         suspect.NewTracker(),
 	}
 	p.settings.Store(o.Settings)
+	p.core.SetEngineAddress(reachableEngine(o.Settings))
 	return p
 }
 
@@ -173,6 +187,7 @@
 	group.Go(func() error { p.followConfiguration(ctx); return nil })
 	p.Log.Info("start", "role", "slot", "centre", p.settings.Load().Centre, "engine", p.settings.Load().Engine, "incarnation", p.Incarnation)
 	err = group.Wait()
+	p.remoteCalls.Wait()
 	p.Log.Info("stop", "error", err)
 	return err
 }
@@ -237,6 +252,8 @@
 type processMetrics struct {
 	// orders counts orders by kind and outcome, and switches the events of switches by kind.
 	orders, switches *metrics.Counter
+	// remote counts calls at engines of other ranks by kind and outcome.
+	remote *metrics.Counter
 	// datagrams counts datagrams that were not sent, could not be decoded or were out of date.
 	datagrams *metrics.Counter
 	// orderTime is the duration of an order, also of one without an answer.
@@ -245,7 +262,7 @@
 
 func newProcessMetrics(s *metrics.Set) *processMetrics {
 	return &processMetrics{
-		orders: s.Counter("orders"), switches: s.Counter("switches"), datagrams: s.Counter("datagrams"), orderTime: s.Histogram("order"),
+		orders: s.Counter("orders"), remote: s.Counter("remote"), switches: s.Counter("switches"), datagrams: s.Counter("datagrams"), orderTime: s.Histogram("order"),
 	}
 }
 
--- /dev/null
+++ b/internal/process/sidecar/sidecar_deputy.go
@@ -0,0 +1,93 @@
+package sidecar
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/group/hold"
+)
+
+const (
+	// deputies is the number of ranks after the leader's whose slots get the states of all ranks, to act as leader.
+	deputies = 2
+	// deputyInterval is the time between two datagrams of a slot to a deputy during a switch, and leadingInterval that of the
+	// slots in whose place a deputy acts, which are silent after 250 ms.
+	deputyInterval, leadingInterval = 400 * time.Millisecond, 80 * time.Millisecond
+	// idleDeputyInterval is the same while no switch is in progress: a deputy must know the addresses of engines.
+	idleDeputyInterval = time.Second
+	// announceInterval is the time between two datagrams by which a deputy makes itself known to all slots, at least a
+	// millisecond for each.
+	announceInterval = time.Second
+)
+
+// leaders returns the addresses of the slots of rank 0 and of the deputies, invalid ones for those that are not known or the
+// own; mu is held.
+func (p *Process) leaders(now time.Time) (known [1 + deputies]netip.AddrPort) {
+	own := p.core.State(now)
+	for _, v := range p.mesh.Peers(true) {
+		s, ok := p.rankStates[v.Address]
+		if ok && s.Rank < len(known) && s.Group == own.Group && s.Rank != own.Rank {
+			known[s.Rank] = v.Address
+		}
+	}
+	return known
+}
+
+// sendToDeputies sends the own state to the deputies. One that acts as leader gets it as often as the leader, also whenever it
+// changes; the others need it only to know that the slot runs and where its engine is; mu is held.
+func (p *Process) sendToDeputies(now time.Time, known []netip.AddrPort) {
+	s := p.core.State(now)
+	for _, address := range known {
+		if !address.IsValid() {
+			continue
+		}
+		key := hold.State{}
+		interval := p.deputyStateInterval(s)
+		if p.core.Busy() && s.Ballot.LeaderIncarnation == p.rankStates[address].Incarnation {
+			key = s
+			key.Step, interval = 0, repeatInterval(s.Size)
+		}
+		t := p.deputyThrottles[address]
+		if t.due(now, key, interval) {
+			p.deputyThrottles[address] = t
+			n := p.newDatagram()
+			n.Rank, n.Known = encodeState(s), p.knownMap()
+			p.send(n, []netip.AddrPort{address})
+		}
+	}
+}
+
+// deputyStateInterval returns the time between two datagrams with the own state to a deputy that does not act; mu is held.
+func (p *Process) deputyStateInterval(s hold.State) time.Duration {
+	switch {
+	case !p.core.Busy():
+		return idleDeputyInterval
+	case s.Rank <= deputies:
+		return leadingInterval
+	}
+	return deputyInterval
+}
+
+// announceDeputy makes a deputy known to the slots that are not known to be in other groups, and sends them the attempt of
+// which it is the leader; mu is held.
+func (p *Process) announceDeputy(now time.Time) {
+	s := p.core.State(now)
+	if s.Rank < 1 || s.Rank > deputies {
+		return
+	}
+	if p.core.Published() != nil {
+		p.sendToRanks(now)
+	}
+	var to []netip.AddrPort
+	for _, address := range p.mesh.Addresses("", true) {
+		if r, ok := p.rankStates[address]; !ok || r.Group == s.Group {
+			to = append(to, address)
+		}
+	}
+	interval := max(announceInterval, time.Duration(len(to))*rankInterval)
+	if len(to) > 0 && p.announceThrottle.due(now, struct{}{}, interval) {
+		n := p.newDatagram()
+		n.Rank = encodeState(s)
+		p.send(n, to)
+	}
+}
--- a/internal/process/sidecar/sidecar_engine.go
+++ b/internal/process/sidecar/sidecar_engine.go
@@ -24,6 +24,7 @@
 		reachable = err == nil
 		if reachable {
 			p.runOrders(ctx, p.sendState)
+			p.startRemoteCalls(ctx)
 		}
 		if now := p.Now(); reachable && now.Sub(lastCount) >= countInterval {
 			lastCount = now
@@ -100,15 +101,19 @@
 	began := p.Now()
 	refused, err = p.Engine.Order(ctx, o)
 	p.metrics.orderTime.Observe(p.Now().Sub(began).Seconds())
-	outcome := "accepted"
+	p.metrics.orders.With("kind", string(o.Kind), "outcome", orderOutcome(refused, err)).Add(1)
+	return refused, err
+}
+
+// orderOutcome returns the outcome of an order for the metrics.
+func orderOutcome(refused bool, err error) string {
 	switch {
 	case err != nil:
-		outcome = "unknown"
+		return "unknown"
 	case refused:
-		outcome = "refused"
+		return "refused"
 	}
-	p.metrics.orders.With("kind", string(o.Kind), "outcome", outcome).Add(1)
-	return refused, err
+	return "accepted"
 }
 
 // readCounts reads how often each expert was chosen, and which experts the rank holds if that has changed.
--- a/internal/process/sidecar/sidecar_send.go
+++ b/internal/process/sidecar/sidecar_send.go
@@ -93,7 +93,10 @@
 	if !p.core.EngineKnown() {
 		return
 	}
-	leader := p.leaderAddress(now)
+	known := p.leaders(now)
+	leader := known[0]
+	p.sendToDeputies(now, known[1:])
+	p.announceDeputy(now)
 	switch {
 	case p.core.IsLeader():
 		p.sendToRanks(now)
@@ -165,8 +168,13 @@
 // partitionSlots returns the addresses of the slots that need the complete attempt, and of those that already follow it;
 // mu is held.
 func (p *Process) partitionSlots(a *hold.Attempt) (behind, following []netip.AddrPort) {
+	group := p.core.State(p.Now()).Group
 	for _, address := range p.mesh.Addresses("", true) {
 		s, ok := p.rankStates[address]
+		if !p.core.IsLeader() && s.Group != group {
+			// The leader also looks for ranks that it does not know; a deputy acts only for those that it has heard.
+			continue
+		}
 		if a == nil || ok && s.Ballot == a.Ballot && s.Phase >= a.Phase {
 			following = append(following, address)
 		} else {
@@ -267,15 +275,3 @@
 	interval := time.Duration(bytes / (countLinkShare * linkRate(p.settings.Load())) * float64(time.Second))
 	return max(interval, countInterval)
 }
-
-// leaderAddress returns the address of the slot of rank 0, which leads, or an invalid one if it is not known; mu is held.
-func (p *Process) leaderAddress(now time.Time) netip.AddrPort {
-	own := p.core.State(now)
-	for _, v := range p.mesh.Peers(true) {
-		r, ok := p.rankStates[v.Address]
-		if ok && r.Rank == 0 && r.Group == own.Group {
-			return v.Address
-		}
-	}
-	return netip.AddrPort{}
-}
--- a/internal/process/sidecar/sidecar_test.go
+++ b/internal/process/sidecar/sidecar_test.go
@@ -19,7 +19,7 @@
 // testExperts describes a group of two ranks with four experts in one set.
 var testExperts = site.Experts{Sets: 1, Count: 4, Capacity: 3, MaxAdded: 1, Share: 0.8}
 
-// fakeEngine is a fake of an engine. It accepts and records all orders, and applies disarm, prepare and release to its
+// fakeEngine is a fake of an engine. It accepts and records all orders, and applies disarm, prepare, hold and release to its
 // state.
 type fakeEngine struct {
 	mu    sync.Mutex
@@ -43,6 +43,8 @@
 		f.state.Armed, f.state.ArmedStep = 0, 0
 	case hold.OrderPrepare:
 		f.state.Prepared = o.Version
+	case hold.OrderHold:
+		f.state.HeldStep = o.Step
 	case hold.OrderRelease:
 		f.state.HeldStep = 0
 	}
