Keep deputies from taking a slow or resting leader for silent

Cause: a deputy that missed the end of a switch heard the leader, then at rest, only every 0.5 s to 1 s, and took it for silent after 250 ms. A slot whose engine answers slowly sent nothing for up to 480 ms.

Change: the leader repeats the end of a switch to a deputy that has not followed it every 80 ms, and each slot repeats its state during a switch while it waits for its engine.

Result: TestDeputyHearsTheEndSoon passes, and fails without the first change; go test -race ./internal/process/sidecar: ok. The second has no test of its own.

--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -184,6 +184,7 @@
 	}
 	group.Go(func() error { return p.socket.Receive(ctx, p.receive, p.rejectDatagram) })
 	group.Go(func() error { p.followEngine(ctx); return nil })
+	group.Go(func() error { p.repeatStates(ctx); return nil })
 	group.Go(func() error { p.followConfiguration(ctx); return nil })
 	p.Log.Info("start", "role", "slot", "centre", p.settings.Load().Centre, "engine", p.settings.Load().Engine, "incarnation", p.Incarnation)
 	err = group.Wait()
--- a/internal/process/sidecar/sidecar_deputy.go
+++ b/internal/process/sidecar/sidecar_deputy.go
@@ -1,7 +1,9 @@
 package sidecar
 
 import (
+	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/group/hold"
@@ -33,6 +35,37 @@
 	return known
 }
 
+// repeatStates sends the own state during a switch while followEngine waits for a slow engine, until the context ends: the slot
+// is not silent then.
+func (p *Process) repeatStates(ctx context.Context) {
+	t := time.NewTicker(leadingInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		p.mu.Lock()
+		busy := p.core.Busy()
+		p.mu.Unlock()
+		if busy {
+			p.sendState()
+		}
+	}
+}
+
+// deputiesAmong returns the addresses that are those of deputies; mu is held.
+func (p *Process) deputiesAmong(now time.Time, addresses []netip.AddrPort) (out []netip.AddrPort) {
+	known := p.leaders(now)
+	for _, address := range known[1:] {
+		if slices.Contains(addresses, address) {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
 // sendToDeputies sends the own state to the deputies. One that acts as leader gets it as often as the leader, also whenever it
 // changes; the others need it only to know that the slot runs and where its engine is; mu is held.
 func (p *Process) sendToDeputies(now time.Time, known []netip.AddrPort) {
--- a/internal/process/sidecar/sidecar_deputy_test.go
+++ b/internal/process/sidecar/sidecar_deputy_test.go
@@ -86,6 +86,41 @@
 	return e.HeldStep
 }
 
+// TestDeputyHearsTheEndSoon loses the end of a switch on the way to a deputy, which then still follows the switch while the leader
+// is at rest. The deputy must get it again before it takes the leader for silent.
+func TestDeputyHearsTheEndSoon(t *testing.T) {
+	is := is.New(t)
+	f := &fakeEngine{state: hold.Engine{Group: "g", Epoch: 1, Rank: 0, Size: 2, Open: true, Step: 40, MapVersion: 5}}
+	p := newTestProcess(f)
+	now := time.Now()
+	p.Now = func() time.Time { return now }
+	ends := 0
+	p.transmit = func(n *message.News, _ []netip.AddrPort) error {
+		if n.Attempt != nil && n.Attempt.Phase == uint32(hold.PhaseEnded) {
+			ends++
+		}
+		return nil
+	}
+	is.NoErr(p.readEngine(t.Context()))
+	now = now.Add(time.Minute)
+	f.state.Step++
+	is.NoErr(p.readEngine(t.Context()))
+	s := hold.State{Incarnation: 7, Group: "g", Epoch: 1, Rank: 1, Size: 2, Open: true, Step: 41, MapVersion: 5, NoPendingOrders: true, NoPendingDisarm: true}
+	receive := func(sequence uint64) {
+		p.receive(netip.MustParseAddrPort("10.0.0.1:7000"), &message.News{Name: "slot-1", Incarnation: 7, Sequence: sequence, Slot: true, Rank: encodeState(s)})
+	}
+	receive(1)
+	is.True(p.core.Begin(now, [][][]int{{{0, 1}, {2, 3}}}))
+	s.Ballot, s.Phase, s.Refused = p.core.Published().Ballot, hold.PhasePrepare, true
+	receive(2)
+	is.Equal(p.core.Published().Phase, hold.PhaseEnded)
+	for range 10 {
+		p.sendState()
+		now = now.Add(busyInterval / 2)
+	}
+	is.True(ends >= 3) // in 200 ms
+}
+
 // TestStatesFitTheDeputiesLinks counts the bytes of the states that a deputy gets from all ranks during a switch in which each
 // rank's state changes twelve times a second, beside those that it gets from a group at rest, and that it sends itself.
 func TestStatesFitTheDeputiesLinks(t *testing.T) {
--- a/internal/process/sidecar/sidecar_send.go
+++ b/internal/process/sidecar/sidecar_send.go
@@ -155,6 +155,10 @@
 	}
 	behind, following := p.partitionSlots(a)
 	state := encodeState(p.core.State(now))
+	if a != nil && a.Phase == hold.PhaseEnded {
+		// A deputy that has missed the end would take the leader, which is at rest, for silent.
+		p.sendAttempt(now, state, a, key, leadingInterval, p.deputiesAmong(now, behind))
+	}
 	if len(behind) > 0 {
 		p.sendAttempt(now, state, a, key, interval, behind)
 	}
