--- a/internal/process/sidecar/sidecar_pace_test.go
+++ b/internal/process/sidecar/sidecar_pace_test.go
@@ -44,6 +44,7 @@
 			is.NoErr(p.readEngine(t.Context()))
 			now = now.Add(time.Minute)
 			f.state.Pace = v.paces[0]
+			f.state.Step++
 			is.NoErr(p.readEngine(t.Context()))
 			for r := 1; r < ranks; r++ {
 				s := hold.State{Incarnation: 7, Group: "g", Epoch: 1, Rank: r, Size: ranks, Open: true, Step: 40, NoPendingOrders: true, NoPendingDisarm: true, Pace: v.paces[r]}
@@ -70,7 +71,7 @@
 func TestVaryingPacesAreNotSentAtOnce(t *testing.T) {
 	is := is.New(t)
 	leader := netip.MustParseAddrPort("10.0.0.1:7000")
-	f := &fakeEngine{state: hold.Engine{Group: "g", Epoch: 1, Rank: 1, Size: 2, Open: true, Step: 40}}
+	f := &fakeEngine{state: hold.Engine{Group: "g", Epoch: 1, Rank: 3, Size: 4, Open: true, Step: 40}}
 	p := newTestProcess(f)
 	now := time.Now()
 	p.Now = func() time.Time { return now }
@@ -84,7 +85,7 @@
 	}
 	is.NoErr(p.readEngine(t.Context()))
 	now = now.Add(time.Minute)
-	p.receive(leader, &message.News{Name: "slot-0", Incarnation: 7, Sequence: 1, Slot: true, Rank: encodeState(hold.State{Group: "g", Epoch: 1, Size: 2})})
+	p.receive(leader, &message.News{Name: "slot-0", Incarnation: 7, Sequence: 1, Slot: true, Rank: encodeState(hold.State{Group: "g", Epoch: 1, Size: 4})})
 	// Counts are sent at other times.
 	p.sentCounts, p.sentExperts = now, now
 	for i, pace := range []float64{1, 1.1, 1.05, 12, 12.1, 11.9, 1.02} {
