--- a/internal/edge/target/pace.go
+++ b/internal/edge/target/pace.go
@@ -123,9 +123,12 @@
 }
 
 // GroupOccupancy returns the requests in progress at a group of a service and the number of its ranks that accept new ones, or those
-// of the whole service if the group is zero: the ranks of a group wait for each other, not for those of other groups.
+// of the whole service if the group is zero: the ranks of a group wait for each other, not for those of other groups. Own are this
+// entry's requests at all groups, of which one estimator observes the passes.
 func (r *Registry) GroupOccupancy(service string, group uint32) seat.Occupancy {
-	return r.occupancy(service, func(m *Member) bool { return group == 0 || m.Group == group }).Occupancy
+	o := r.occupancy(service, func(m *Member) bool { return group == 0 || m.Group == group }).Occupancy
+	o.Own = r.Own(service)
+	return o
 }
 
 // occupancy returns what runs at the targets that counts reports, without the evacuated ones.
