Wait where the others have no use for seats, and promise returns after the peak

Cause: an entry took other entries for as hungry as itself from the chance difference of its own arrivals and ends, so that near the capacity it held back though seats were free. It promised returns into the same peak, where each returned caller displaced a new one, which then returned too. An entry that alone had callers gave up seats that nobody took.

Change: while an entry refuses nobody it takes what the trend of the others leaves. A return is promised in a time slot with seats that arriving requests are not expected to take, or else in the later half of the allowed time. An entry gives up less while seats stay free. Lines of refusals say whether the workspace had more than its fair share, and explain tells it.

--- a/internal/edge/seat/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package seat limits the streams of a group of engines and decides which requests get a seat under overload.
-package seat
--- a/internal/edge/seat/fairness.go
+++ b/internal/edge/seat/fairness.go
@@ -277,11 +277,9 @@
 			continue
 		}
 		at := c.start(a)
-		for _, v := range a.waiters {
-			if at <= start {
-				n++
-			}
-			at += v.Cost
+		for i := 0; i < len(a.waiters) && at <= start; i++ {
+			at += a.waiters[i].Cost
+			n++
 		}
 	}
 	return n
--- a/internal/edge/seat/queue.go
+++ b/internal/edge/seat/queue.go
@@ -50,6 +50,8 @@
 	// Done receives whether the request was admitted; its buffer size must be at least one.
 	Done chan bool
 
+	// Above is set by Offer if the workspace had more than its fair share while another lacked seats.
+	Above bool
 	// account is the account that the request is charged to; Offer sets it.
 	account *account
 	// committed is set once the review has kept the waiter in the queue.
@@ -99,7 +101,7 @@
 	}
 	above := q.aboveShare(now, c, a, free, ownSeats)
 	// A workspace that uses more than its share while another lacks seats gets no precedence by being refused more often.
-	w.Returned = w.Returned && !above
+	w.Above, w.Returned = above, w.Returned && !above
 	q.countArrival(now)
 	if q.waiting == 0 && q.fits(w, running, seats) && !above {
 		q.serve(c, a, w)
--- a/internal/edge/seat/returns.go
+++ b/internal/edge/seat/returns.go
@@ -29,8 +29,9 @@
 }
 
 // Promise returns the time after which a refused caller is told to return, given the time that it has left: the earliest time slot
-// in which seats for returned callers are expected that are not promised yet, or else the one with the fewest promises. The random
-// value in [0,1) spreads the callers over the time slot.
+// in which seats are expected to be free that are not promised yet. If there is none, it is the one with the fewest promises in the
+// later half: a caller that returns into the same peak displaces a new one, which then returns too. The random value in [0,1)
+// spreads the callers over the time slot.
 func (q *Queue) Promise(now time.Time, left time.Duration, running, seats int, random float64) time.Duration {
 	longest := min(maxReturn, left/returnPart)
 	if longest <= minReturn {
@@ -40,15 +41,14 @@
 	q.advance(current)
 	first := current + int64(minReturn/returnSlot)
 	last := max(current+int64(longest/returnSlot)-1, first)
-	// At least one caller is told to return in each time slot of a service with few seats, in turn.
-	expected := max(returnedShare*q.rate(q.own, running, seats, q.entries)*returnSlot.Seconds(), 0)
-	best := first
+	expected := q.spareRate(running, seats) * returnSlot.Seconds()
+	best := (first + last) / 2
 	for slot := first; slot <= last; slot++ {
 		if q.promised[slot%int64(returnSlots)]+1 <= expected {
 			best = slot
 			break
 		}
-		if q.promised[slot%int64(returnSlots)] < q.promised[best%int64(returnSlots)] {
+		if slot > best && q.promised[slot%int64(returnSlots)] < q.promised[best%int64(returnSlots)] {
 			best = slot
 		}
 	}
@@ -57,6 +57,11 @@
 	return min(max(wait, minReturn), longest)
 }
 
+// spareRate returns the seats a second that are expected to become free beyond those that arriving requests take.
+func (q *Queue) spareRate(running, seats int) float64 {
+	return max(q.rate(q.own, running, seats, q.entries)-q.arrivals/paceTime.Seconds(), 0)
+}
+
 // advance drops the promises of time slots that have passed.
 func (r *returns) advance(current int64) {
 	if current-r.base > int64(returnSlots) {
--- a/internal/edge/seat/room.go
+++ b/internal/edge/seat/room.go
@@ -13,6 +13,11 @@
 	// evenShare is the fraction of the difference to its even part by which an entry moves at each news while no seat is free. Without
 	// it the parts drift apart, since each entry replaces its own streams, and one that has just started would get no seat.
 	evenShare = 0.2
+	// yieldStep is the rise of the yield at each news without a free seat.
+	yieldStep = 0.05
+	// trendTime is the time constant of the trend of the others' streams, and maxTrendGap the age of news that says nothing of it.
+	trendTime   = time.Second
+	maxTrendGap = 10 * time.Second
 	// spread is the step by which the fractions of successive news are rounded: multiples of the golden ratio fill the unit interval
 	// evenly. phases of the entries differ, so that they do not all take the same seat.
 	spread = 0.6180339887498949
@@ -34,8 +39,13 @@
 	limit int
 	// boost multiplies the entry's part of free seats. It rises while seats stay free, since some entries have no use for their part.
 	boost float64
+	// yield is the part of evenShare by which the entry moves, from zero to one. It falls while seats stay free, since the others then
+	// do not need what this entry has given up.
+	yield float64
 	// assumed is the number of seats that all entries together have probably taken and that news does not show yet.
 	assumed float64
+	// trend is the growth of the others' streams in a second.
+	trend float64
 	// phase rounds fractions of seats.
 	phase float64
 }
@@ -65,26 +75,35 @@
 		return
 	}
 	r.assumed *= math.Exp(-max(elapsed.Seconds(), 0) / age.Seconds())
+	if !r.newsAt.IsZero() && elapsed < maxTrendGap {
+		r.trend += min(elapsed.Seconds()/trendTime.Seconds(), 1) * (float64(r.known-r.others)/elapsed.Seconds() - r.trend)
+	} else {
+		r.trend = 0
+	}
 	r.others, r.newsAt = r.known, now
 	part := float64(seats) / float64(r.entries)
 	free := float64(seats-running) - r.assumed
-	demand := q.growth(age) + float64(waiting)
+	hungry := waiting > 0 || now.Sub(q.scarceAt) < scarceTime
 	switch {
 	case free <= 0:
 		r.boost = max(r.boost/2, 1)
 		over := float64(max(running-seats, 0))
 		change := -over * float64(r.own) / float64(max(running, 1))
-		if float64(r.own) > part || demand > 0 {
-			change += evenShare * (part - float64(r.own))
+		if float64(r.own) > part || hungry {
+			change += evenShare * r.yield * (part - float64(r.own))
 		}
+		r.yield = min(r.yield+yieldStep, 1)
 		r.limit = r.own + r.round(change)
-	case demand == 0:
+	case !hungry:
 		r.boost = 1
-		r.limit = r.own + int(free)
+		r.limit = r.own + max(int(free-max(r.trend, 0)*age.Seconds()), r.round(free/float64(r.entries)))
 	default:
 		r.boost = min(max(r.boost, 1)*2, float64(r.entries))
+		if float64(r.own) > part {
+			r.yield /= 2
+		}
 		own := free * r.boost / float64(r.entries)
-		take := min(max(own, free-float64(r.entries-1)*demand), free)
+		take := min(max(own, free-float64(r.entries-1)*q.growth(age)-float64(r.entries*waiting)), free)
 		if take < free {
 			r.assumed += min(own*float64(r.entries), free)
 		}
--- a/internal/operator/trace/cause.go
+++ b/internal/operator/trace/cause.go
@@ -97,6 +97,7 @@
 		if l.Get("late") == "true" {
 			causes = append(causes, "It could no longer meet its deadline, so the last seats were reserved for requests that could.")
 		}
+		causes = append(causes, explainQueue(l)...)
 	}
 	return causes
 }
--- a/internal/operator/trace/trace_test.go
+++ b/internal/operator/trace/trace_test.go
@@ -59,6 +59,16 @@
 			[]string{"refused, and has not run", "targets of service holds had turned requests away and asked for rest; the first took requests again after 1.907s"},
 			nil, "may have run",
 		},
+		{
+			"queue.log", "7",
+			[]string{"ran 21 requests in 21 seats", `Workspace "large" had more than its fair share`, "promised a seat after 1.512s"},
+			nil, "It waited for",
+		},
+		{
+			"queue.log", "8",
+			[]string{"It waited for 46.2ms; then no seat", "the part of the seats for returned callers was used up", "promised a seat after 400ms"},
+			nil, "fair share",
+		},
 		{
 			"at-limit.log", "9",
 			[]string{"refused, and has not run", "targets of service holds have named limits of 1 requests a second together; the next permit was due after 907"},
--- a/internal/process/gateway/gateway_seat.go
+++ b/internal/process/gateway/gateway_seat.go
@@ -144,7 +144,7 @@
 	p.mu.Unlock()
 	p.countSeat("refused", w.Returned)
 	p.Log.Info("no seat", "id", v.ID, "service", name, "running", running, "seats", seats, "pause", gap, "late", w.Late,
-		"workspace", v.workspace, "priority", v.priority, "returned", w.Returned, "waiting", waiting, "waited", now.Sub(w.Arrived), "retry", retryAfter)
+		"workspace", v.workspace, "priority", v.priority, "returned", w.Returned, "above", w.Above, "waiting", waiting, "waited", now.Sub(w.Arrived), "retry", retryAfter)
 	v.refuse(http.StatusServiceUnavailable, "no seat", retryAfter)
 }
 
