--- a/internal/operator/trace/trace_test.go
+++ b/internal/operator/trace/trace_test.go
@@ -63,6 +63,8 @@
 			"evacuated.log", "9",
 			[]string{"refused, and has not run", "evacuated all data centres with targets of service holds: c0,c1", "Data centre c0 was evacuated at 09:01:07.310", "Data centre c1 was evacuated at 09:04:40.102"},
 			[]string{"centre evacuated"}, "may have run",
+		},
+		{
 			"queue.log", "7",
 			[]string{"ran 21 requests in 21 seats", `Workspace "large" had more than its fair share`, "promised a seat after 1.512s"},
 			nil, "It waited for",
