Issue permits for cold targets so that no set of entries exceeds their bound

Cause: an engine that has just started takes few requests and crashes above that rate; entries that have just started, were frozen or are cut off from each other would each own the whole rate. An entry that became the owner within the last second, or is asked because the owner does not answer, issues only what the bound leaves beside an owner that others may still ask. Issue, for stated limits, is unchanged.

--- a/internal/request/limit/limit_permit.go
+++ b/internal/request/limit/limit_permit.go
@@ -41,6 +41,8 @@
 	Count int
 	// Priority is that of the requests; zero is the most urgent.
 	Priority int
+	// Cold is set if the sender counts the target as cold.
+	Cold bool
 }
 
 // Permits is the answer to a PermitRequest.
@@ -56,6 +58,8 @@
 	bucket
 	// demands are the exponentially decaying numbers of requests for permits, by priority.
 	demands [lowestPriority + 1]float64
+	// askers holds the entries that have asked this one as the deputy of the owner, with the time; nil if none has.
+	askers map[string]time.Time
 }
 
 // Issuer issues permits for the targets whose rates an entry owns. It is not safe for concurrent use.
@@ -73,11 +77,16 @@
 // others leave one for them, and get none if those ask for the whole rate.
 func (i *Issuer) Issue(now time.Time, r PermitRequest, entries int) Permits {
 	rate := min(max(r.Rate, MinRate), maxPermitRate)
-	a := i.account(now, r.Target)
-	capacity := 2 + rate*permitBurstTime.Seconds()
-	passed := a.fill(now, rate, capacity)
+	a := i.account(now, r.Target, 1)
+	return a.issue(now, r, terms{rate: rate, capacity: 2 + rate*permitBurstTime.Seconds(), entries: entries})
+}
+
+// issue returns the permits for a request on some terms.
+func (a *account) issue(now time.Time, r PermitRequest, t terms) Permits {
+	rate := t.rate
+	passed := a.fill(now, rate, t.capacity)
 	// The rate may have been higher before.
-	a.tokens = min(a.tokens, capacity)
+	a.tokens = min(a.tokens, t.capacity)
 	priority := min(max(r.Priority, 0), lowestPriority)
 	urgent := 0.0
 	for p := range a.demands {
@@ -98,19 +107,19 @@
 		return Permits{Wait: perRequest(1-available, rate)}
 	}
 	// An entry gets more permits than it needs now only if there are enough for all.
-	spare := int(available) / (2 * max(entries, 1))
+	spare := int(available) / (2 * max(t.entries, 1))
 	count := min(max(r.Count, 1), int(available))
 	count = min(max(count, spare), maxPermits)
 	a.tokens -= float64(count)
 	return Permits{Count: count}
 }
 
-// account returns the account of a target, and drops the idle ones if it is new.
-func (i *Issuer) account(now time.Time, target uint32) *account {
+// account returns the account of a target, which has some permits if it is new. The idle ones are dropped then.
+func (i *Issuer) account(now time.Time, target uint32, permits float64) *account {
 	a := i.accounts[target]
 	if a == nil {
 		maps.DeleteFunc(i.accounts, func(_ uint32, a *account) bool { return now.Sub(a.updated) > accountLifetime })
-		a = &account{bucket: bucket{tokens: 1, updated: now}}
+		a = &account{bucket: bucket{tokens: permits, updated: now}}
 		i.accounts[target] = a
 	}
 	return a
