--- a/internal/fleet/site/configuration.go
+++ b/internal/fleet/site/configuration.go
@@ -69,6 +69,21 @@
 	Stride int
 	// Experts describes the experts of the service's groups.
 	Experts Experts
+	// Cold describes the targets after a start.
+	Cold Cold
+}
+
+// Cold describes what targets sustain after a start. The zero value says that they sustain what they do at any other time.
+type Cold struct {
+	// Time is how long a target is cold after its start.
+	Time time.Duration
+	// Rate is the number of requests a second that a cold target sustains.
+	Rate float64
+}
+
+// Limits reports whether cold targets sustain less than others.
+func (c Cold) Limits() bool {
+	return c.Rate > 0
 }
 
 // Grouped reports whether the service's engines are ranks of a group.
@@ -116,6 +131,9 @@
 	Width int
 	// Leaving is set if the target takes no new requests.
 	Leaving bool
+	// ColdUntil is the time until which the target is cold by its own account, or zero. It is never earlier than what the target
+	// meant, since the time that it has left counts from when the record was read.
+	ColdUntil time.Time
 }
 
 // Index builds the index of routes that Match uses.
--- a/internal/fleet/site/settings.go
+++ b/internal/fleet/site/settings.go
@@ -52,6 +52,8 @@
 	Revoke time.Duration
 	// Retries bounds the retries of all entries together.
 	Retries RetryBound
+	// Cold bounds the requests of a cold target; the zero value says that there is no bound.
+	Cold ColdBound
 	// Memory is the memory limit of the process in bytes.
 	Memory int64
 	// Link is the bandwidth of the machine's link in bytes a second; zero if it is not known.
@@ -84,3 +86,11 @@
 	// Window is the length of the sliding window.
 	Window time.Duration
 }
+
+// ColdBound is the largest number of requests that a cold target may get in any sliding second, summed over all entries.
+type ColdBound struct {
+	// Over is the factor of the rate that the target sustains; zero says that there is no bound.
+	Over float64
+	// Slack is the number of requests allowed beyond that.
+	Slack float64
+}
--- a/internal/fleet/site/store.go
+++ b/internal/fleet/site/store.go
@@ -1,5 +1,7 @@
 package site
 
+import "time"
+
 // Changes are the changes in the store after a revision, in order.
 type Changes struct {
 	// Configuration is the latest configuration among the changes, or nil.
@@ -18,4 +20,8 @@
 	Target *Target
 	// Fault says why the record is not valid; it is nil for a removed one.
 	Fault error
+	// Revision is the store's revision of the record's latest change.
+	Revision int64
+	// ColdLeft is how much longer the target is cold, as of the time at which it wrote the record.
+	ColdLeft time.Duration
 }
