Send cold targets only requests that have a permit

Cause: a target that had just started got the share of all entries at once, 104 requests in a second at 250 a second, nine entries and three targets, and may crash above 15. Change: target.coldness keeps until when a target is cold: by its record, from when it was first listed, after a failure by which it may have restarted under its ID, after a pause of the entry, and by Registry.MarkCold for a data centre. A cold target is one with a rate limit: choices, permits, the refusal with Retry-After and the seats use the lower of that and of a limit that it states. Refused connections and lost runs are told to the other entries with the limits. A request whose permit has lapsed before its connection stands is sent elsewhere; after a pause requests wait until the store was read again, at most 0.5 s. Fields appended to news.proto: PermitRequest.cold, TargetLimit.failed, Relay.entries and entries_age; Target.cold is filled as of sending and counts from arrival. Without coldPerS or the two bounds nothing changes; the check of a choice is a comparison with nil. Ruled out: ending the cold time after a failure at a later read of the store, which may hold the record of before the restart.

--- a/internal/edge/target/choose.go
+++ b/internal/edge/target/choose.go
@@ -46,7 +46,7 @@
 	switch {
 	case m.Leaving || c.Tried[m.ID] || now.Before(m.restsUntil):
 		return false
-	case !m.limit.Limited || m.HasPermit(now):
+	case !m.Limited(now) || m.HasPermit(now):
 		return true
 	}
 	return c.MayAsk && m.DeniedUntil(now, c.Priority).IsZero()
@@ -71,7 +71,7 @@
 		return nil
 	}
 	cheapest := slices.Index(r.costs, slices.Min(r.costs))
-	if r.candidates[cheapest].limit.Limited {
+	if r.candidates[cheapest].Limited(now) {
 		// Its permits are this entry's alone, so the others do not take the same place.
 		return r.candidates[cheapest]
 	}
--- a/internal/edge/target/limit.go
+++ b/internal/edge/target/limit.go
@@ -45,27 +45,37 @@
 	return true
 }
 
-// Limits returns the members whose limits the other entries should know, the latest first.
+// Limits returns the members whose limits or failures the other entries should know, the latest first.
 func (r *Registry) Limits(now time.Time) (members []*Member) {
 	for _, m := range r.members {
-		if m.limit.Limited || !m.limit.At.IsZero() && now.Sub(m.limit.At) < liftedNewsTime {
+		_, failed := m.FailedAt(now)
+		if failed || m.limit.Limited || !m.limit.At.IsZero() && now.Sub(m.limit.At) < liftedNewsTime {
 			members = append(members, m)
 		}
 	}
 	slices.SortFunc(members, func(x, y *Member) int {
-		return cmp.Or(y.limit.At.Compare(x.limit.At), cmp.Compare(x.Hash, y.Hash))
+		return cmp.Or(y.newsAt(now).Compare(x.newsAt(now)), cmp.Compare(x.Hash, y.Hash))
 	})
 	return members[:min(len(members), maxLimits)]
 }
 
+// newsAt returns the time of the latest limit or failure of which the other entries should know.
+func (m *Member) newsAt(now time.Time) time.Time {
+	if at, failed := m.FailedAt(now); failed && at.After(m.limit.At) {
+		return at
+	}
+	return m.limit.At
+}
+
 // NextPermit returns the earliest time at which a request may get a permit again for one of the targets that a choice leaves
 // out for their limits, and the sum of these limits in requests a second. The time is zero if there is no such target.
 func (r *Registry) NextPermit(now time.Time, c Choice) (at time.Time, rate float64) {
 	for _, m := range r.services[c.Service] {
-		if m.Leaving || !m.limit.Limited {
+		if m.Leaving || !m.Limited(now) {
 			continue
 		}
-		rate += m.limit.Rate
+		own, _ := m.Rate(now)
+		rate += own
 		until := m.DeniedUntil(now, c.Priority)
 		if until.IsZero() {
 			until = now
--- a/internal/edge/target/target.go
+++ b/internal/edge/target/target.go
@@ -34,6 +34,8 @@
 	// limit is the latest known limit. While the target has one, each request needs one of the permits.
 	limit Limit
 	limit.Holder
+	// cold is nil if the service's targets are never cold.
+	cold *coldness
 }
 
 // Running returns the known number of requests in progress at the target.
@@ -64,6 +66,13 @@
 	outageEndedAt time.Time
 	// otherLoads holds the loads of the other entries by hash.
 	otherLoads map[uint32]int
+	// coldServices holds what cold targets sustain by service, and colds what is known of their incarnations by Hash. listed is set
+	// once the targets were listed.
+	coldServices map[string]site.Cold
+	colds        map[uint32]*coldness
+	listed       bool
+	// coldCount is at least the number of colds whose cold is set.
+	coldCount int
 	// candidates, costs and sorted are reused by each choice.
 	candidates    []*Member
 	costs, sorted []float64
@@ -71,7 +80,7 @@
 
 // NewRegistry returns an empty Registry.
 func NewRegistry() *Registry {
-	return &Registry{members: map[string]*Member{}, services: map[string][]*Member{}, hashes: map[uint32]*Member{}, wishes: map[uint32]wish{}, otherLoads: map[uint32]int{}}
+	return &Registry{members: map[string]*Member{}, services: map[string][]*Member{}, hashes: map[uint32]*Member{}, wishes: map[uint32]wish{}, colds: map[uint32]*coldness{}, otherLoads: map[uint32]int{}}
 }
 
 // Hash returns a 32-bit identifier of an incarnation.
@@ -105,7 +114,9 @@
 		}
 		listed[t.ID] = true
 		changes = append(changes, r.applyTarget(t)...)
+		r.learnCold(now, &t, r.listed)
 	}
+	r.listed = true
 	for id, m := range r.members {
 		replaced := latest[m.Address] > m.Created
 		if listed[id] || now.Sub(r.outageEndedAt) < outageGrace && !replaced {
@@ -117,6 +128,7 @@
 	if len(changes) > 0 {
 		r.index()
 	}
+	r.forgetColds(now)
 	return changes
 }
 
--- a/internal/operator/trace/cause.go
+++ b/internal/operator/trace/cause.go
@@ -101,12 +101,15 @@
 	return causes
 }
 
-// explainLimits explains a refusal because of the limits that targets name.
+// explainLimits explains a refusal because of the limits that targets name, or of what they sustain while they are cold.
 func (t *Trace) explainLimits() (causes []string) {
 	for _, l := range t.Lines {
 		if l.Message == "no permit" {
 			causes = append(causes, fmt.Sprintf("The targets of service %s have named limits of %s requests a second together; the next permit was due after %s.",
 				l.Get("service"), l.Get("rate"), l.Get("wait")))
+			if cold := l.Get("cold"); cold != "" && cold != "0" {
+				causes = append(causes, fmt.Sprintf("%s of them were cold and counted with what they sustain after a start.", cold))
+			}
 		}
 	}
 	return causes
--- a/internal/operator/trace/trace_test.go
+++ b/internal/operator/trace/trace_test.go
@@ -59,6 +59,11 @@
 			[]string{"refused, and has not run", "targets of service holds had turned requests away and asked for rest; the first took requests again after 1.907s"},
 			nil, "may have run",
 		},
+		{
+			"at-cold.log", "9",
+			[]string{"refused, and has not run", "limits of 15 requests a second together", "1 of them were cold"},
+			nil, "may have run",
+		},
 		{
 			"at-limit.log", "9",
 			[]string{"refused, and has not run", "targets of service holds have named limits of 1 requests a second together; the next permit was due after 907"},
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -137,10 +137,10 @@
 func New(o Options) *Process {
 	set := metrics.NewSet()
 	p := &Process{
-		Options: o, metricSet: set, metrics: newProcessMetrics(set), transport: newTransport(), started: o.Now(), incarnation: o.Random.Uint64(),
+		Options: o, metricSet: set, metrics: newProcessMetrics(set), transport: newTransport(o.Now), started: o.Now(), incarnation: o.Random.Uint64(),
 		registry: target.NewRegistry(), peers: newPeers(&o), targetsAt: -1, storeNews: make(chan struct{}, 1),
 		budgets: map[string]*budget.Budget{}, estimators: map[string]*seat.Estimator{}, queues: map[string]*seat.Queue{}, arrivals: map[string]*target.Arrivals{}, reservedSeats: map[string]int{},
-		suspects: suspect.NewTracker(), exclusive: map[uint64]bool{}, limits: newLimits(),
+		suspects: suspect.NewTracker(), exclusive: map[uint64]bool{}, limits: newLimits(&o),
 	}
 	p.confirmedAt.Store(-1)
 	now, _ := o.Boot.Now()
--- a/internal/process/gateway/gateway_attempt.go
+++ b/internal/process/gateway/gateway_attempt.go
@@ -39,13 +39,13 @@
 
 // newTransport returns the HTTP transport to all targets. Each attempt uses a new connection, so that bytes of an earlier
 // answer cannot be mistaken for this one and no request is lost on an idle connection that the target closes.
-func newTransport() *http.Transport {
+func newTransport(now func() time.Time) *http.Transport {
 	d := &net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
 	}
 	return &http.Transport{
-		DialContext: d.DialContext, DisableCompression: true, DisableKeepAlives: true, MaxResponseHeaderBytes: answer.MaxHeader,
+		DialContext: dialInTime(now, d.DialContext), DisableCompression: true, DisableKeepAlives: true, MaxResponseHeaderBytes: answer.MaxHeader,
 	}
 }
 
@@ -89,6 +89,7 @@
 			break
 		}
 		v.process.awaitCatchUp(v.caller.Context())
+		v.awaitTargets()
 		m := v.chooseTarget()
 		if m == nil {
 			if v.rejection.status != 0 {
@@ -130,7 +131,7 @@
 	if last == outcomeTruncated && !v.route.Resumable {
 		return false
 	}
-	return v.takeRetry()
+	return v.unsent || v.takeRetry()
 }
 
 // fail ends a request that no target served, with the last error answer of a target if there is one. Otherwise the
@@ -172,7 +173,7 @@
 	p := v.process
 	began := p.Now()
 	v.fate, v.events, v.heardAt, v.succeeded = suspect.FateNone, 0, began, false
-	v.statement, v.groupRefused = call.Statement{}, v.service.Grouped()
+	v.statement, v.groupRefused, v.unsent = call.Statement{}, v.service.Grouped(), false
 	defer func() {
 		running := v.releaseTarget(m, result)
 		p.metrics.attempts.With("outcome", result.String()).Add(1)
@@ -183,7 +184,7 @@
 	}()
 	ctx, cancel := context.WithDeadlineCause(v.caller.Context(), v.deadline, context.DeadlineExceeded)
 	defer cancel()
-	ctx, stop := context.WithCancelCause(ctx)
+	ctx, stop := context.WithCancelCause(withSendBy(ctx, v.sendBy))
 	defer stop(nil)
 	if wait := v.attemptTimeout(); wait > 0 {
 		t := time.AfterFunc(wait, func() { stop(errAttemptTimeout) })
@@ -225,9 +226,13 @@
 	case v.caller.Context().Err() != nil:
 		v.fate = suspect.FateSilent
 		return outcomeCallerLeft, nil, "caller left"
+	case errors.Is(err, errPermitLapsed):
+		v.unsent = true
+		return outcomeNotRun, nil, err.Error()
 	case errors.As(err, &op) && op.Op == "dial":
 		v.process.mu.Lock()
 		m.Block(v.process.Now())
+		v.process.noteUnreachable(v.process.Now(), m, err)
 		v.process.mu.Unlock()
 		return outcomeNotRun, nil, "not connected: " + err.Error()
 	}
--- a/internal/process/gateway/gateway_follow.go
+++ b/internal/process/gateway/gateway_follow.go
@@ -47,6 +47,8 @@
 	// targets holds the valid targets by ID, and invalid the errors of the records that could not be decoded.
 	targets map[string]site.Target
 	invalid map[string]string
+	// colds holds until when the targets are cold whose records say so, by ID.
+	colds map[string]coldRecord
 	// reachable is false after a failed read.
 	reachable bool
 }
@@ -54,7 +56,7 @@
 // followStore keeps the configuration and the targets up to date until the context ends. One relay of each data
 // centre reads the store, and the other entries learn from it; they read it themselves while it does not tell them enough.
 func (p *Process) followStore(ctx context.Context) {
-	s := &storeState{reachable: true, targets: map[string]site.Target{}, invalid: map[string]string{}}
+	s := &storeState{reachable: true, targets: map[string]site.Target{}, invalid: map[string]string{}, colds: map[string]coldRecord{}}
 	for ctx.Err() == nil {
 		switch {
 		case p.mustRead():
@@ -240,6 +242,7 @@
 	}
 	clear(s.targets)
 	p.updateTargets(s, list)
+	maps.DeleteFunc(s.colds, func(id string, _ coldRecord) bool { _, ok := s.targets[id]; return !ok })
 	maps.DeleteFunc(s.invalid, func(id, _ string) bool {
 		return !slices.ContainsFunc(list, func(e site.TargetRecord) bool { return e.ID == id })
 	})
@@ -268,8 +271,13 @@
 func (p *Process) updateTargets(s *storeState, list []site.TargetRecord) {
 	for _, e := range list {
 		delete(s.targets, e.ID)
+		if e.Target == nil {
+			delete(s.colds, e.ID)
+		}
 		if e.Target != nil {
-			s.targets[e.ID] = *e.Target
+			t := *e.Target
+			t.ColdUntil = p.coldUntil(s, &e)
+			s.targets[e.ID] = t
 		}
 		if e.Fault == nil {
 			delete(s.invalid, e.ID)
@@ -313,9 +321,11 @@
 
 // setTargets is applyTargets with mu held.
 func (p *Process) setTargets(now time.Time, list []site.Target, readAt time.Time) {
+	p.configureColds(now)
 	for _, c := range p.registry.Apply(now, list) {
 		p.applyChange(now, c)
 		p.Log.Info("target "+c.Event, "target", c.ID, "service", c.Service, "address", c.Address, "centre", c.Centre, "own", c.Own)
 	}
+	p.unknown.Store(p.registry.NoteRead(now, readAt))
 	p.resolveRuns(now, readAt)
 }
--- a/internal/process/gateway/gateway_limit.go
+++ b/internal/process/gateway/gateway_limit.go
@@ -21,10 +21,11 @@
 	// sent for limits alone.
 	limitsChanged bool
 	limitsSentAt  time.Time
+	colds
 }
 
-func newLimits() limits {
-	return limits{issuer: limit.NewIssuer(), asked: map[uint32]*permitRequest{}}
+func newLimits(o *Options) limits {
+	return limits{issuer: limit.NewIssuer(), asked: map[uint32]*permitRequest{}, colds: newColds(o)}
 }
 
 // hearStatement records what a target says about itself in its answer to a request that was sent at a time.
@@ -74,9 +75,15 @@
 // learnLimits records the limits that a peer has reported; mu is held.
 func (p *Process) learnLimits(now time.Time, n *message.News) {
 	for _, l := range n.Limits {
-		if m := p.registry.ByHash(l.Target); m != nil && p.setLimit(m, l.Decode(now), n.Name) && p.mesh.IsRelay() {
-			p.limitsChanged = true
+		m := p.registry.ByHash(l.Target)
+		if m == nil {
+			continue
 		}
+		changed := p.setLimit(m, l.Decode(now), n.Name)
+		if at, ok := l.DecodeFailure(now); ok && p.registry.LearnFailure(now, m, at) {
+			changed = true
+		}
+		p.limitsChanged = p.limitsChanged || changed && p.mesh.IsRelay()
 	}
 	if p.limitsChanged && p.mesh.IsRelay() {
 		p.sendNews(now, &p.limitsSentAt)
--- a/internal/process/gateway/gateway_member.go
+++ b/internal/process/gateway/gateway_member.go
@@ -88,7 +88,7 @@
 	}
 	m.seenAt = now
 	if n.Answer.Through != m.Sequence && (n.Answer.Reset_ || n.Answer.Through > m.Sequence) {
-		m.Apply(n.Answer.DecodePage())
+		m.Apply(n.Answer.DecodePage(now))
 		p.mirrorsChanged = true
 	}
 	p.wantedVersion = max(p.wantedVersion, n.Relay.Version)
--- a/internal/process/gateway/gateway_metrics.go
+++ b/internal/process/gateway/gateway_metrics.go
@@ -20,6 +20,8 @@
 	lostRuns *metrics.Counter
 	// permits counts the permits that were issued to other entries, and the answers to this entry's requests for permits.
 	permits *metrics.Counter
+	// colds counts the targets that became cold by reason, and those that no longer are.
+	colds *metrics.Counter
 	// rests counts the times at which a target asked for rest.
 	rests *metrics.Counter
 	// timeToHeaders is the time from sending an attempt to the headers of its answer, duration that of a whole request,
@@ -30,7 +32,7 @@
 func newProcessMetrics(s *metrics.Set) *processMetrics {
 	return &processMetrics{
 		requests: s.Counter("requests"), attempts: s.Counter("attempts"), storeCalls: s.Counter("reads"),
-		invalidRecords: s.Counter("unreadable"), datagrams: s.Counter("datagrams"), lostRuns: s.Counter("runs"), permits: s.Counter("permits"), rests: s.Counter("rests"),
+		invalidRecords: s.Counter("unreadable"), datagrams: s.Counter("datagrams"), lostRuns: s.Counter("runs"), permits: s.Counter("permits"), rests: s.Counter("rests"), colds: s.Counter("cold"),
 		timeToHeaders: s.Histogram("first"), duration: s.Histogram("whole"), eventGap: s.Histogram("pause"),
 	}
 }
--- a/internal/process/gateway/gateway_peers.go
+++ b/internal/process/gateway/gateway_peers.go
@@ -68,6 +68,7 @@
 		now := p.Now()
 		if paused {
 			p.mesh.Unsettle(now)
+			p.resumeColds(now)
 		}
 		for _, lost := range p.mesh.Expire(now) {
 			p.Log.Info("peer lost", "peer", lost.Name, "address", lost.Address, "age", now.Sub(lost.LastSeen))
@@ -76,7 +77,9 @@
 			p.Log.Info("relay", "active", p.mesh.IsRelay())
 			p.wakeStore()
 		}
-		p.entries = len(p.mesh.View(now).Entries())
+		live := p.mesh.View(now).Entries()
+		p.entries = len(live)
+		p.followColds(now, live)
 		p.expireMirrors(now)
 		p.forgetMembers()
 		if p.reportDue(now) {
@@ -181,6 +184,7 @@
 		p.receiveReport(now, peer, n, isNew)
 	}
 	if n.Relay != nil {
+		p.learnKnown(now, n.Relay)
 		p.receiveRelay(now, peer, n)
 	}
 	p.answerAsks(now, from, n.Asks)
--- a/internal/process/gateway/gateway_permit.go
+++ b/internal/process/gateway/gateway_permit.go
@@ -34,20 +34,32 @@
 	number   uint64
 	member   *target.Member
 	priority int
+	// owner is the entry that was asked, and sentAt when it was. Cold is set if the target counted as cold.
+	owner  netip.AddrPort
+	sentAt time.Time
+	cold   bool
 	// joined is the number of callers' requests that wait for the same answer.
 	joined int
 	// done is closed once the answer has arrived or the time for it is over.
 	done chan struct{}
 }
 
+// rateKey returns the key of a target's rate.
+func rateKey(hash uint32) string {
+	return strconv.FormatUint(uint64(hash), 16)
+}
+
 // rateOwner returns the address of the entry that owns a target's rate, which is invalid if this entry does, and the number of
 // live entries; mu is held.
-func (p *Process) rateOwner(now time.Time, hash uint32) (owner netip.AddrPort, entries int) {
+func (p *Process) rateOwner(now time.Time, hash uint32, cold bool) (owner netip.AddrPort, entries int) {
+	if cold {
+		return p.coldOwner(now, hash), 0
+	}
 	addresses := map[string]netip.AddrPort{}
 	for _, a := range p.mesh.View(now).Entries() {
 		addresses[a.String()] = a
 	}
-	owner = addresses[limit.Owner(strconv.FormatUint(uint64(hash), 16), slices.Collect(maps.Keys(addresses)))]
+	owner = addresses[limit.Owner(rateKey(hash), slices.Collect(maps.Keys(addresses)))]
 	if owner == p.settings.Load().Peers {
 		owner = netip.AddrPort{}
 	}
@@ -80,31 +92,33 @@
 // ask asks for permits. It returns nil if this entry owns the rate, so that the answer is recorded at once; mu is held.
 func (p *Process) ask(m *target.Member, priority, count int) *permitRequest {
 	now := p.Now()
-	r := limit.PermitRequest{Target: m.Hash, Rate: m.Limit().Rate, Priority: priority, Count: count}
-	owner, entries := p.rateOwner(now, m.Hash)
+	rate, cold := m.Rate(now)
+	r := limit.PermitRequest{Target: m.Hash, Rate: rate, Priority: priority, Count: count, Cold: cold}
+	owner, entries := p.rateOwner(now, m.Hash, cold)
+	p.lastAsk++
+	ask := &permitRequest{number: p.lastAsk, member: m, priority: priority, owner: owner, sentAt: now, cold: cold, done: make(chan struct{})}
 	if !owner.IsValid() {
-		p.applyPermits(now, m, priority, p.issuer.Issue(now, r, entries))
+		p.applyPermits(now, ask, p.issue(now, r, p.settings.Load().Peers, entries))
 		return nil
 	}
-	p.lastAsk++
-	ask := &permitRequest{number: p.lastAsk, member: m, priority: priority, done: make(chan struct{})}
 	p.asked[m.Hash] = ask
 	n := p.newNewsDatagram(now, nil)
 	n.Asks = []*message.PermitRequest{message.EncodePermitRequest(ask.number, r)}
 	p.sendDatagram(n, []netip.AddrPort{owner})
-	time.AfterFunc(permitTimeout, func() { p.expireAsk(ask, owner) })
+	time.AfterFunc(permitTimeout, func() { p.expireAsk(ask) })
 	return ask
 }
 
 // expireAsk ends a request for permits if it has no answer yet.
-func (p *Process) expireAsk(ask *permitRequest, owner netip.AddrPort) {
+func (p *Process) expireAsk(ask *permitRequest) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.asked[ask.member.Hash] != ask {
 		return
 	}
-	p.Log.Warn("permit unanswered", "target", ask.member.ID, "peer", owner, "waited", permitTimeout, "requests", ask.joined)
+	p.Log.Warn("permit unanswered", "target", ask.member.ID, "peer", ask.owner, "waited", permitTimeout, "requests", ask.joined)
 	p.metrics.permits.With("event", "unanswered").Add(1)
+	p.noteAnswer(p.Now(), ask, false)
 	ask.member.ApplyPermits(p.Now(), limit.Permits{Wait: unansweredDenial}, 0)
 	p.endAsk(ask)
 }
@@ -124,14 +138,18 @@
 	entries := len(p.mesh.View(now).Entries())
 	for _, ask := range asks {
 		r := ask.Decode()
-		if m := p.registry.ByHash(r.Target); m != nil && m.Limit().Limited {
-			r.Rate = m.Limit().Rate
+		p.correct(now, &r)
+		if r.Cold && !p.roster.MayIssue(now) {
+			// The sender asks another entry when it gets no answer.
+			continue
 		}
-		permits := p.issuer.Issue(now, r, entries)
+		permits := p.issue(now, r, from, entries)
 		p.metrics.permits.With("event", "issued").Add(float64(permits.Count))
 		reply.Permits = append(reply.Permits, message.EncodePermits(ask.Number, permits))
 	}
-	p.sendDatagram(reply, []netip.AddrPort{from})
+	if len(reply.Permits) > 0 {
+		p.sendDatagram(reply, []netip.AddrPort{from})
+	}
 }
 
 // receivePermits records the answers to this entry's requests for permits; mu is held.
@@ -139,7 +157,8 @@
 	for _, w := range permits {
 		for _, ask := range p.asked {
 			if ask.number == w.Number {
-				p.applyPermits(now, ask.member, ask.priority, w.Decode())
+				p.noteAnswer(now, ask, true)
+				p.applyPermits(now, ask, w.Decode())
 				p.endAsk(ask)
 			}
 		}
@@ -147,8 +166,12 @@
 }
 
 // applyPermits records the answer to a request for permits; mu is held.
-func (p *Process) applyPermits(now time.Time, m *target.Member, priority int, permits limit.Permits) {
-	m.ApplyPermits(now, permits, priority)
+func (p *Process) applyPermits(now time.Time, ask *permitRequest, permits limit.Permits) {
+	if ask.cold {
+		ask.member.ApplyColdPermits(now, ask.sentAt, permits, ask.priority)
+	} else {
+		ask.member.ApplyPermits(now, permits, ask.priority)
+	}
 	event := "granted"
 	if permits.Count == 0 {
 		event = "denied"
@@ -174,6 +197,6 @@
 	if at.IsZero() {
 		return rejection{}
 	}
-	p.Log.Info("no permit", "id", v.ID, "service", c.Service, "rate", rate, "wait", at.Sub(now), "priority", c.Priority)
+	p.Log.Info("no permit", "id", v.ID, "service", c.Service, "rate", rate, "cold", p.registry.Cold(now, c.Service), "wait", at.Sub(now), "priority", c.Priority)
 	return rejection{http.StatusServiceUnavailable, limitReason, limit.RetryAfter(at.Sub(now), rate, p.Random.Float64())}
 }
--- a/internal/process/gateway/gateway_relay.go
+++ b/internal/process/gateway/gateway_relay.go
@@ -177,6 +177,7 @@
 	centre := mesh.View{view.Centre(p.settings.Load().Centre)}
 	digest := centre.Digest()
 	n.Relay = &message.Relay{Settled: p.mesh.Settled(now), View: digest, Loads: message.EncodeLoads(p.centreLoads())}
+	p.tellKnown(now, n.Relay)
 	to := p.mesh.OtherRelays(now)
 	if digest != p.sentView || now.Sub(p.viewSentAt) >= centreViewInterval {
 		p.viewSentAt, p.sentView = now, digest
@@ -199,6 +200,7 @@
 	n.Relay = &message.Relay{
 		Settled: p.mesh.Settled(now), View: digest, Loads: message.EncodeLoads(loads), Version: p.sentVersion, Inventory: p.feed.Sequence(), Blind: p.blind,
 	}
+	p.tellKnown(now, n.Relay)
 	if ended := p.registry.OutageEndedAt(); !ended.IsZero() {
 		n.Relay.Outage = max(now.Sub(ended).Microseconds(), 1)
 	}
@@ -228,7 +230,7 @@
 		return a
 	}
 	page := p.feed.After(m.inventory)
-	a.Reset_, a.Through, a.Targets = page.Reset, page.Through, message.EncodeTargets(page.Records)
+	a.Reset_, a.Through, a.Targets = page.Reset, page.Through, message.EncodeTargets(now, page.Records)
 	m.sentThrough, m.sentAt = page.Through, now
 	return a
 }
--- a/internal/process/gateway/gateway_run.go
+++ b/internal/process/gateway/gateway_run.go
@@ -107,7 +107,8 @@
 func (p *Process) occupancy(s *site.Service, gap time.Duration) (running, seats int) {
 	ranks := p.registry.Available(s.Name)
 	running = p.registry.Running(s.Name) + p.reservedSeats[s.Name]
-	return running, min(p.estimator(s.Name).Seats(p.Now(), s, gap, ranks), p.registry.Width(s.Name))
+	seats = min(p.estimator(s.Name).Seats(p.Now(), s, gap, ranks), p.registry.Width(s.Name))
+	return running, p.registry.LimitSeats(p.Now(), s.Name, seats, ranks)
 }
 
 // acquireSeat waits for a seat and reports whether the request got one. If not, the request has ended.
@@ -217,9 +218,10 @@
 	if m == nil {
 		return nil, false
 	}
-	if m.Limit().Limited && !m.TakePermit(now) {
+	if m.Limited(now) && !m.TakePermit(now) {
 		return m, true
 	}
+	v.sendBy = sendBy(now, m)
 	m.Own++
 	v.tried[m.ID] = true
 	p.loadChanged(now)
@@ -250,6 +252,7 @@
 		// A target that asks for rest has named the time in which it is not used.
 		m.RecordResult(now, result != outcomeServed && result != outcomeCallerLeft)
 	}
+	p.noteLost(now, m, v.fate)
 	v.recordRun(now, m, result)
 	if queue := p.queues[v.service.Name]; queue != nil && queue.Waiting() > 0 {
 		p.admitWaiting(v.service.Name, queue)
--- a/internal/process/gateway/gateway_serve.go
+++ b/internal/process/gateway/gateway_serve.go
@@ -67,6 +67,10 @@
 	framed bool
 	// succeeded is set if the answer of the latest attempt has a status of success.
 	succeeded bool
+	// sendBy is the time by which the current attempt must be sent because its permit lapses then, or zero.
+	sendBy time.Time
+	// unsent is set if nothing of the latest attempt reached its target because its permit had lapsed, so another one is no retry.
+	unsent bool
 	// headersSent is set once the headers of an answer were sent to the caller.
 	headersSent bool
 }
--- a/internal/wire/message/convert_limit.go
+++ b/internal/wire/message/convert_limit.go
@@ -12,7 +12,11 @@
 func EncodeLimits(now time.Time, members []*target.Member) (out []*TargetLimit) {
 	for _, m := range members {
 		l := m.Limit()
-		out = append(out, &TargetLimit{Target: m.Hash, Limited: l.Limited, Rate: l.Rate, Age: now.Sub(l.At).Microseconds()})
+		w := &TargetLimit{Target: m.Hash, Limited: l.Limited, Rate: l.Rate, Age: now.Sub(l.At).Microseconds()}
+		if at, ok := m.FailedAt(now); ok {
+			w.Failed = max(now.Sub(at).Microseconds(), 0) + 1
+		}
+		out = append(out, w)
 	}
 	return out
 }
@@ -22,15 +26,20 @@
 	return target.Limit{Limited: l.Limited, Rate: decodeRate(l.Rate), At: now.Add(-decodeMicros(l.Age))}
 }
 
+// DecodeFailure returns the time at which a connection to the target failed, and whether one did of late.
+func (l *TargetLimit) DecodeFailure(now time.Time) (at time.Time, ok bool) {
+	return now.Add(-decodeMicros(l.Failed - 1)), l.Failed > 0
+}
+
 // EncodePermitRequest returns the wire form of a request for permits with a number.
 func EncodePermitRequest(number uint64, r limit.PermitRequest) *PermitRequest {
-	return &PermitRequest{Number: number, Target: r.Target, Rate: r.Rate, Priority: uint32(max(r.Priority, 0)), Count: uint32(max(r.Count, 0))}
+	return &PermitRequest{Number: number, Target: r.Target, Rate: r.Rate, Priority: uint32(max(r.Priority, 0)), Count: uint32(max(r.Count, 0)), Cold: r.Cold}
 }
 
 // Decode returns the request for permits of its wire form.
 func (r *PermitRequest) Decode() limit.PermitRequest {
 	return limit.PermitRequest{
-		Target: r.Target, Rate: decodeRate(r.Rate), Priority: int(min(r.Priority, math.MaxInt32)), Count: int(min(r.Count, math.MaxInt32)),
+		Target: r.Target, Rate: decodeRate(r.Rate), Priority: int(min(r.Priority, math.MaxInt32)), Count: int(min(r.Count, math.MaxInt32)), Cold: r.Cold,
 	}
 }
 
--- a/internal/wire/message/convert_limit_test.go
+++ b/internal/wire/message/convert_limit_test.go
@@ -36,7 +36,7 @@
 
 func TestPermitsRoundTrip(t *testing.T) {
 	is := is.New(t)
-	r := limit.PermitRequest{Target: 7, Rate: 2.5, Count: 3, Priority: 1}
+	r := limit.PermitRequest{Target: 7, Rate: 2.5, Count: 3, Priority: 1, Cold: true}
 	is.Equal(EncodePermitRequest(1, r).Decode(), r)
 	for _, p := range []limit.Permits{{Count: 3}, {Wait: 40 * time.Millisecond}} {
 		is.Equal(EncodePermits(1, p).Decode(), p)
--- a/internal/wire/message/convert_relay.go
+++ b/internal/wire/message/convert_relay.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"math"
 	"net/netip"
+	"time"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/inventory"
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/mesh"
@@ -74,8 +75,8 @@
 	return loads
 }
 
-// EncodeTargets returns the wire form of changed records of targets.
-func EncodeTargets(records []site.TargetRecord) (out []*Target) {
+// EncodeTargets returns the wire form of changed records of targets. The time that a target is still cold counts from now.
+func EncodeTargets(now time.Time, records []site.TargetRecord) (out []*Target) {
 	for _, r := range records {
 		t := r.Target
 		if t == nil {
@@ -85,13 +86,15 @@
 		out = append(out, &Target{
 			Id: r.ID, Start: t.StartUnixMilli, Service: t.Service, Address: encodeAddress(t.Address.Addr()), Port: uint32(t.Address.Port()),
 			Centre: t.Centre, Width: uint32(max(t.Width, 0)), Leaving: t.Leaving, Created: t.Created,
+			Cold: max(t.ColdUntil.Sub(now).Microseconds(), 0),
 		})
 	}
 	return out
 }
 
-// DecodePage returns the changes of the sender's inventory.
-func (m *Answer) DecodePage() inventory.Page {
+// DecodePage returns the changes of the sender's inventory. The time that a target is still cold counts from now, which is later than
+// when it was sent, so a delay never shortens it.
+func (m *Answer) DecodePage(now time.Time) inventory.Page {
 	page := inventory.Page{Reset: m.Reset_, Through: m.Through}
 	for _, t := range m.Targets {
 		r := site.TargetRecord{ID: t.Id}
@@ -100,6 +103,9 @@
 				ID: t.Id, StartUnixMilli: t.Start, Service: t.Service, Centre: t.Centre, Width: int(t.Width), Leaving: t.Leaving, Created: t.Created,
 				Address: netip.AddrPortFrom(decodeAddress(t.Address), uint16(min(t.Port, math.MaxUint16))),
 			}
+			if t.Cold > 0 {
+				r.Target.ColdUntil = now.Add(decodeMicros(t.Cold))
+			}
 		}
 		page.Records = append(page.Records, r)
 	}
