--- a/internal/edge/target/choose.go
+++ b/internal/edge/target/choose.go
@@ -48,7 +48,7 @@
 	switch {
 	case m.Leaving || m.evacuated || c.Tried[m.ID] || now.Before(m.restsUntil):
 		return false
-	case !m.limit.Limited || m.HasPermit(now):
+	case !m.Limited(now) || m.HasPermit(now):
 		return true
 	}
 	return c.MayAsk && m.DeniedUntil(now, c.Priority).IsZero()
@@ -74,7 +74,7 @@
 	}
 	r.avoid(now, &c)
 	cheapest := slices.Index(r.costs, slices.Min(r.costs))
-	if r.candidates[cheapest].limit.Limited {
+	if r.candidates[cheapest].Limited(now) {
 		// Its permits are this entry's alone, so the others do not take the same place.
 		return r.candidates[cheapest]
 	}
--- a/internal/edge/target/target.go
+++ b/internal/edge/target/target.go
@@ -38,6 +38,8 @@
 	// limit is the latest known limit. While the target has one, each request needs one of the permits.
 	limit Limit
 	limit.Holder
+	// cold is nil if the service's targets are never cold.
+	cold *coldness
 }
 
 // Running returns the known number of requests in progress at the target.
@@ -76,6 +78,13 @@
 	slowGroups map[uint32]bool
 	// paceChanges holds the members that have become slow or of usual pace since the last call of TakePaceChanges.
 	paceChanges []Member
+	// coldServices holds what cold targets sustain by service, and colds what is known of their incarnations by Hash. listed is set
+	// once the targets were listed.
+	coldServices map[string]site.Cold
+	colds        map[uint32]*coldness
+	listed       bool
+	// coldCount is at least the number of colds whose cold is set.
+	coldCount int
 	// candidates, costs and sorted are reused by each choice.
 	candidates    []*Member
 	costs, sorted []float64
@@ -83,7 +92,7 @@
 
 // NewRegistry returns an empty Registry.
 func NewRegistry() *Registry {
-	return &Registry{members: map[string]*Member{}, services: map[string][]*Member{}, hashes: map[uint32]*Member{}, wishes: map[uint32]wish{}, reach: map[string]*centreReach{}, slowGroups: map[uint32]bool{}, otherLoads: map[uint32]int{}}
+	return &Registry{members: map[string]*Member{}, services: map[string][]*Member{}, hashes: map[uint32]*Member{}, wishes: map[uint32]wish{}, reach: map[string]*centreReach{}, slowGroups: map[uint32]bool{}, colds: map[uint32]*coldness{}, otherLoads: map[uint32]int{}}
 }
 
 // Hash returns a 32-bit identifier of an incarnation.
@@ -118,7 +127,9 @@
 		listed[t.ID] = true
 		changes = append(changes, r.applyTarget(t)...)
 		r.SetRank(r.members[t.ID], t.Group, t.Pace)
+		r.learnCold(now, &t, r.listed)
 	}
+	r.listed = true
 	for id, m := range r.members {
 		replaced := latest[m.Address] > m.Created
 		if listed[id] || now.Sub(r.outageEndedAt) < outageGrace && !replaced {
@@ -130,6 +141,7 @@
 	if len(changes) > 0 {
 		r.index()
 	}
+	r.forgetColds(now)
 	return changes
 }
 
--- a/internal/operator/trace/trace_test.go
+++ b/internal/operator/trace/trace_test.go
@@ -74,6 +74,11 @@
 			[]string{"It waited for 46.2ms; then no seat", "the part of the seats for returned callers was used up", "promised a seat after 400ms"},
 			nil, "fair share",
 		},
+		{
+			"at-cold.log", "9",
+			[]string{"refused, and has not run", "limits of 15 requests a second together", "1 of them were cold"},
+			nil, "may have run",
+		},
 		{
 			"at-limit.log", "9",
 			[]string{"refused, and has not run", "targets of service holds have named limits of 1 requests a second together; the next permit was due after 907"},
--- a/internal/process/gateway/gateway_attempt.go
+++ b/internal/process/gateway/gateway_attempt.go
@@ -40,13 +40,13 @@
 
 // newTransport returns the HTTP transport to all targets. Each attempt uses a new connection, so that bytes of an earlier
 // answer cannot be mistaken for this one and no request is lost on an idle connection that the target closes.
-func newTransport() *http.Transport {
+func newTransport(now func() time.Time) *http.Transport {
 	d := &net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
 	}
 	return &http.Transport{
-		DialContext: d.DialContext, DisableCompression: true, DisableKeepAlives: true, MaxResponseHeaderBytes: answer.MaxHeader,
+		DialContext: dialInTime(now, d.DialContext), DisableCompression: true, DisableKeepAlives: true, MaxResponseHeaderBytes: answer.MaxHeader,
 	}
 }
 
@@ -90,6 +90,7 @@
 			break
 		}
 		v.process.awaitCatchUp(v.caller.Context())
+		v.awaitTargets()
 		m := v.chooseTarget()
 		if m == nil {
 			if v.rejection.status != 0 {
@@ -132,7 +133,7 @@
 		return false
 	}
 	// What never reached a target is no retry there.
-	return v.unreached || v.takeRetry()
+	return v.unreached || v.unsent || v.takeRetry()
 }
 
 // fail ends a request that no target served, with the last error answer of a target if there is one. Otherwise the
@@ -174,7 +175,7 @@
 	p := v.process
 	began := p.Now()
 	v.fate, v.events, v.heardAt, v.succeeded = suspect.FateNone, 0, began, false
-	v.statement, v.groupRefused, v.unreached, v.connected = call.Statement{}, v.service.Grouped(), false, false
+	v.statement, v.groupRefused, v.unreached, v.unsent, v.connected = call.Statement{}, v.service.Grouped(), false, false, false
 	defer func() {
 		running := v.releaseTarget(m, result)
 		p.metrics.attempts.With("outcome", result.String()).Add(1)
@@ -186,7 +187,7 @@
 	defer v.beginStream(m)()
 	ctx, cancel := context.WithDeadlineCause(v.caller.Context(), v.deadline, context.DeadlineExceeded)
 	defer cancel()
-	ctx, stop := context.WithCancelCause(ctx)
+	ctx, stop := context.WithCancelCause(withSendBy(ctx, v.sendBy))
 	defer stop(nil)
 	if wait := v.attemptTimeout(); wait > 0 {
 		t := time.AfterFunc(wait, func() { stop(errAttemptTimeout) })
@@ -200,7 +201,7 @@
 	}
 	response, err := p.transport.RoundTrip(r)
 	if err != nil {
-		return v.classifyError(ctx, err)
+		return v.classifyError(ctx, m, err)
 	}
 	v.connected = true
 	defer response.Body.Close()
@@ -222,15 +223,21 @@
 }
 
 // classifyError returns the outcome of an attempt that ended without an answer.
-func (v *request) classifyError(ctx context.Context, err error) (outcome, *bufferedAnswer, string) {
+func (v *request) classifyError(ctx context.Context, m *target.Member, err error) (outcome, *bufferedAnswer, string) {
 	var op *net.OpError
 	switch {
 	case v.caller.Context().Err() != nil:
 		v.fate = suspect.FateSilent
 		return outcomeCallerLeft, nil, "caller left"
+	case errors.Is(err, errPermitLapsed):
+		v.unsent, v.groupRefused = true, false
+		return outcomeNotRun, nil, err.Error()
 	case errors.As(err, &op) && op.Op == "dial":
 		// Of a group whose rank cannot be reached nothing is known, and other groups may serve the request.
 		v.unreached, v.groupRefused = true, false
+		v.process.mu.Lock()
+		v.process.noteUnreachable(v.process.Now(), m, err)
+		v.process.mu.Unlock()
 		return outcomeNotRun, nil, "not connected: " + err.Error()
 	}
 	v.fate = lostFate(ctx)
--- a/internal/process/gateway/gateway_evacuate.go
+++ b/internal/process/gateway/gateway_evacuate.go
@@ -101,9 +101,10 @@
 	}
 }
 
-// returnCentre makes the targets of a data centre available again after its evacuation. They may have been started meanwhile, so this
-// is the place for marking them as cold; mu is held.
-func (p *Process) returnCentre(_ time.Time, c target.CentreChange) {
+// returnCentre makes the targets of a data centre available again after its evacuation. They may have been started meanwhile, so they
+// count as cold; mu is held.
+func (p *Process) returnCentre(now time.Time, c target.CentreChange) {
+	p.registry.MarkCold(now, c.Centre)
 	p.metrics.evacuations.With("event", "returned").Add(1)
 	p.Log.Info("centre returned", "centre", c.Centre, "targets", c.Targets)
 }
--- a/internal/process/gateway/gateway_follow.go
+++ b/internal/process/gateway/gateway_follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/site"
@@ -54,6 +55,8 @@
 	listsCentres bool
 	// resumedAt is the latest start or pause after which a failed read was repeated at once.
 	resumedAt time.Duration
+	// colds holds until when the targets are cold whose records say so, by ID.
+	colds map[string]coldRecord
 	// reachable is false after a failed read.
 	reachable bool
 }
@@ -61,7 +64,7 @@
 func newStoreState() *storeState {
 	return &storeState{
 		reachable: true, targets: map[string]site.Target{}, unserved: map[string]site.Target{}, invalid: map[string]string{},
-		services: map[string]bool{}, evacuated: map[string]bool{},
+		services: map[string]bool{}, evacuated: map[string]bool{}, colds: map[string]coldRecord{},
 	}
 }
 
@@ -269,6 +272,7 @@
 	p.updateTargets(s, list)
 	p.replaceEvacuations(s, evacuations)
 	s.forgetRecords(list, evacuations)
+	maps.DeleteFunc(s.colds, func(id string, _ coldRecord) bool { _, ok := s.targets[id]; return !ok })
 	return nil
 }
 
@@ -326,10 +330,12 @@
 
 // setTargets replaces the known targets by a list that is at least as recent as the given time; mu is held.
 func (p *Process) setTargets(now time.Time, list []site.Target, readAt time.Time) {
+	p.configureColds(now)
 	for _, c := range p.registry.Apply(now, list) {
 		p.applyChange(now, c)
 		p.Log.Info("target "+c.Event, "target", c.ID, "service", c.Service, "address", c.Address, "centre", c.Centre, "own", c.Own)
 	}
 	p.applyGroups()
+	p.unknown.Store(p.registry.NoteRead(now, readAt))
 	p.resolveRuns(now, readAt)
 }
--- a/internal/process/gateway/gateway_metrics.go
+++ b/internal/process/gateway/gateway_metrics.go
@@ -20,6 +20,8 @@
 	lostRuns *metrics.Counter
 	// permits counts the permits that were issued to other entries, and the answers to this entry's requests for permits.
 	permits *metrics.Counter
+	// colds counts the targets that became cold by reason, and those that no longer are.
+	colds *metrics.Counter
 	// rests counts the times at which a target asked for rest.
 	rests *metrics.Counter
 	// paces counts how often a target became slow, and of usual pace again, and stalls how often a group stalled and ran again.
@@ -37,7 +39,7 @@
 func newProcessMetrics(s *metrics.Set) *processMetrics {
 	return &processMetrics{
 		requests: s.Counter("requests"), attempts: s.Counter("attempts"), storeCalls: s.Counter("reads"),
-		invalidRecords: s.Counter("unreadable"), datagrams: s.Counter("datagrams"), lostRuns: s.Counter("runs"), permits: s.Counter("permits"), rests: s.Counter("rests"),
+		invalidRecords: s.Counter("unreadable"), datagrams: s.Counter("datagrams"), lostRuns: s.Counter("runs"), permits: s.Counter("permits"), rests: s.Counter("rests"), colds: s.Counter("cold"),
 		paces: s.Counter("paces"), stalls: s.Counter("stalls"),
 		evacuations: s.Counter("evacuations"),
 		seats:       s.Counter("seats"), seatWait: s.Histogram("wait"),
--- a/internal/process/gateway/gateway_record.go
+++ b/internal/process/gateway/gateway_record.go
@@ -14,6 +14,11 @@
 	for _, e := range list {
 		delete(s.targets, e.ID)
 		delete(s.unserved, e.ID)
+		if e.Target == nil {
+			delete(s.colds, e.ID)
+		} else {
+			e.Target.ColdUntil = p.coldUntil(s, &e)
+		}
 		switch {
 		case e.Fault != nil:
 			p.rejectRecord(s, e.ID, e.Fault)
--- a/internal/process/gateway/gateway_run.go
+++ b/internal/process/gateway/gateway_run.go
@@ -142,9 +142,10 @@
 	if m == nil {
 		return nil, false
 	}
-	if m.Limit().Limited && !m.TakePermit(now) {
+	if m.Limited(now) && !m.TakePermit(now) {
 		return m, true
 	}
+	v.sendBy = sendBy(now, m)
 	m.Own++
 	p.registry.NoteAttempt(now, m)
 	v.tried[m.ID] = true
@@ -177,6 +178,7 @@
 		// A target that asks for rest has named the time in which it is not used.
 		m.RecordResult(now, result != outcomeServed && result != outcomeCallerLeft)
 	}
+	p.noteLost(now, m, v.fate)
 	v.recordRun(now, m, result)
 	if queue := p.queues[v.service.Name]; queue != nil && queue.Waiting() > 0 {
 		p.admitWaiting(v.service.Name, queue)
--- a/internal/process/gateway/gateway_seat.go
+++ b/internal/process/gateway/gateway_seat.go
@@ -32,7 +32,9 @@
 	if !s.Grouped() {
 		return running, o.Width + o.Ranks
 	}
-	return running, min(p.estimator(s.Name).Seats(p.Now(), s, gap, o.Ranks), o.Width)
+	now := p.Now()
+	seats = min(p.estimator(s.Name).Seats(now, s, gap, o.Ranks), o.Width)
+	return running, p.registry.LimitSeats(now, s.Name, seats, o.Ranks)
 }
 
 // queue returns the queue of a service, told of this entry's part in it; mu is held.
--- a/internal/process/gateway/gateway_serve.go
+++ b/internal/process/gateway/gateway_serve.go
@@ -73,6 +73,10 @@
 	succeeded bool
 	// seatUse is the request's seat.
 	seatUse
+	// sendBy is the time by which the current attempt must be sent because its permit lapses then, or zero.
+	sendBy time.Time
+	// unsent is set if nothing of the latest attempt reached its target because its permit had lapsed, so another one is no retry.
+	unsent bool
 	// headersSent is set once the headers of an answer were sent to the caller.
 	headersSent bool
 }
--- a/internal/wire/message/convert_group_test.go
+++ b/internal/wire/message/convert_group_test.go
@@ -21,8 +21,8 @@
 	for _, v := range []struct{ pace, decoded float64 }{{0, 0}, {1, 1}, {1.1, 1}, {12, 12}, {1e30, 100}, {-5, 1}} {
 		is := is.New(t)
 		x := site.Target{ID: "a", Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), Group: 9, Pace: v.pace}
-		a := &Answer{Targets: EncodeTargets([]site.TargetRecord{{ID: "a", Target: &x}})}
-		page := a.DecodePage()
+		a := &Answer{Targets: EncodeTargets(time.Now(), []site.TargetRecord{{ID: "a", Target: &x}})}
+		page := a.DecodePage(time.Now())
 		is.Equal(page.Records[0].Target.Group, uint32(9))
 		is.Equal(page.Records[0].Target.Pace, v.decoded)
 		m := group.Member{Target: 3, Group: 9, Pace: v.pace}
@@ -124,7 +124,7 @@
 		}
 		page := feed.After(known)
 		known = page.Through
-		size := proto.Size(&Answer{Targets: EncodeTargets(page.Records)})
+		size := proto.Size(&Answer{Targets: EncodeTargets(time.Now(), page.Records)})
 		if n < warmup {
 			b.first += size
 		} else {
