Do not take a caller with a shorter time limit for one that has returned

Cause: callers choose time limits of their own, up to 15 in 100 below the route's; the difference was taken for time that had passed, so two of three first requests counted as late and were refused first, with seats free. Change: only a difference of a fifth of the route's timeout or more counts as passed time.

--- a/internal/process/gateway/gateway_seat.go
+++ b/internal/process/gateway/gateway_seat.go
@@ -16,6 +16,10 @@
 	maxFirstShare = 0.5
 )
 
+// minElapsedShare is the part of a route's timeout from which the difference to a caller's shows that time has passed for it. Callers'
+// own limits vary by up to 15 in 100.
+const minElapsedShare = 0.2
+
 // seatUse is a request's seat.
 type seatUse struct {
 	// waiter is nil if the request has no seat.
@@ -109,13 +113,17 @@
 	return w
 }
 
-// elapsed returns the time that had passed for the caller when the request arrived. A caller that retries sends the time that it
-// has left as its timeout.
+// elapsed returns the time that had passed for the caller when the request arrived, or zero if it is not known. A caller that retries
+// sends the time that it has left as its timeout, but callers also have time limits of their own near the route's.
 func (v *request) elapsed() time.Duration {
 	if v.Timeout <= 0 || v.route.Timeout <= 0 {
 		return 0
 	}
-	return max(v.route.Timeout-v.Timeout, 0)
+	elapsed := v.route.Timeout - v.Timeout
+	if elapsed < time.Duration(minElapsedShare*float64(v.route.Timeout)) {
+		return 0
+	}
+	return elapsed
 }
 
 // seatCost returns the time for which the request is expected to hold its seat in seconds, or zero if nothing is known of it; mu
