Check that room for all means no wait and no refusal

Cause: no test showed that the queue costs nothing where the seats suffice.

Change: the load player has a load of 0.6 of the seats with waves, at 35 entries with news 0.5 s old, and demands that no request waits or is refused.

--- a/internal/edge/seat/player_test.go
+++ b/internal/edge/seat/player_test.go
@@ -79,6 +79,8 @@
 	idle, over, spent float64
 	refusedAt         time.Time
 	all, heavyTally   tally
+	// queued counts the requests that had to wait.
+	queued int
 	// starved counts the requests of the less urgent priority that were served.
 	starved int
 }
@@ -171,6 +173,7 @@
 	case decided:
 		p.refuse(c)
 	default:
+		p.queued++
 		e.list = append(e.list, c)
 	}
 }
@@ -322,6 +325,7 @@
 		{"heavy workspace, 18 entries", load{18, 540, 150 * time.Millisecond, 0.6, 2, 0, 1, 0, false}},
 		{"heavy workspace, 35 entries", load{35, 540, 500 * time.Millisecond, 0.6, 2, 0, 1, 0, false}},
 		{"one entry of nine used", load{9, 130, 150 * time.Millisecond, 1.3, 0, 0, 1, 0, true}},
+		{"room for all, 35 entries", load{35, 450, 500 * time.Millisecond, 0.6, 0, 0.3, 1, 0, false}},
 		{"wave, 149 entries", load{149, 1900, 3 * time.Second, 0.75, 0, 0.55, 1, 0, false}},
 	}
 	names := []string{"arrival", "deadline", "count", "cost"}
@@ -339,6 +343,10 @@
 					continue
 				}
 				is.True(p.heavy > 0 || p.starved > 0)
+				if p.demand < 0.7 && p.heavy == 0 {
+					is.Equal(p.all.refusedOnce, 0) // though there is room
+					is.Equal(p.queued, 0)          // though there is room
+				}
 				if v.load.entries > 35 {
 					continue
 				}
