Bound what an entry holds for its callers, shared between workspaces

Cause: the bodies and buffered answers of all connections of an entry were held at once. Two thousand callers that read slowly, or some hundred that announce large bodies, exceed the memory of the smallest entry (184 MB).

Change: one account (internal/edge/memory) bounds what a process holds by half of limits.memoryMb; without that setting nothing is refused. It counts 24 KB for each request, its body, and what its answer takes beyond 8 KB. A workspace may hold twice what is free, and for large bodies and answers as much as is free. A request without room gets 503 and a Retry-After of 1 s before its body is read. A plain answer without room is passed on while it arrives, since its request has run; an event without room truncates its stream. A body of known length takes no more memory than that, and one that announces more than the limit is refused before it is read. Where a memory limit is set, the kernel's buffer for each caller is bounded by 64 KB; without that it took the 1 MB answers of slow readers out of sight of the account.

--- a/internal/edge/events/events.go
+++ b/internal/edge/events/events.go
@@ -88,6 +88,11 @@
 	return s.lastID
 }
 
+// Held returns the bytes that are held for an incomplete event.
+func (s *Splitter) Held() int {
+	return cap(s.partial)
+}
+
 // TooLong reports whether the last event is incomplete and already larger than an event may be.
 func (s *Splitter) TooLong() bool {
 	return len(s.partial) > maxEvent
--- a/internal/operator/commands/platform.go
+++ b/internal/operator/commands/platform.go
@@ -110,7 +110,7 @@
 	p := gateway.New(gateway.Options{
 		Settings: s,
 		Codec: gateway.Codec{
-			DecodeCall: platform.DecodeCall, NewRequest: platform.NewRequest, DecodeAnswer: platform.DecodeAnswer, SetAttemptID: platform.SetAttemptID,
+			DecodeCall: platform.DecodeCall, DecodeKey: platform.DecodeKey, NewRequest: platform.NewRequest, DecodeAnswer: platform.DecodeAnswer, SetAttemptID: platform.SetAttemptID,
 		},
 		Store: gateway.Store{
 			Configuration: store.Configuration, StaleConfiguration: store.StaleConfiguration, Changes: store.Changes, Targets: store.Targets, Evacuations: store.Evacuations, Close: store.Close,
--- a/internal/operator/trace/cause.go
+++ b/internal/operator/trace/cause.go
@@ -55,6 +55,8 @@
 		causes = append(causes, t.explainRests()...)
 	case strings.HasPrefix(reason, "all data centres with targets"):
 		causes = append(causes, t.explainEvacuation()...)
+	case strings.HasPrefix(reason, "no memory"):
+		causes = append(causes, t.explainMemory()...)
 	case strings.HasPrefix(reason, "no target"):
 		causes = append(causes, t.explainMissingTargets()...)
 	}
@@ -142,6 +144,17 @@
 	return causes
 }
 
+// explainMemory explains a refusal because callers held the memory of the entry.
+func (t *Trace) explainMemory() (causes []string) {
+	for _, l := range t.Lines {
+		if l.Message == "no memory" {
+			causes = append(causes, fmt.Sprintf("It needed %s bytes, and all requests at entry %s together held %s: callers send or read slowly, or its workspace held its part.",
+				l.Get("wanted"), l.Instance, l.Get("used")))
+		}
+	}
+	return causes
+}
+
 // explainRefusal explains why a target refused the request.
 func (t *Trace) explainRefusal(end Line) []string {
 	engine := faultyEngine(end)
--- a/internal/operator/trace/trace_test.go
+++ b/internal/operator/trace/trace_test.go
@@ -64,6 +64,11 @@
 			[]string{"refused, and has not run", "evacuated all data centres with targets of service holds: c0,c1", "Data centre c0 was evacuated at 09:01:07.310", "Data centre c1 was evacuated at 09:04:40.102"},
 			[]string{"centre evacuated"}, "may have run",
 		},
+		{
+			"no-memory.log", "9",
+			[]string{"refused, and has not run", "It needed 1024576 bytes, and all requests at entry entry-0 together held 48146432"},
+			nil, "may have run",
+		},
 		{
 			"at-limit.log", "9",
 			[]string{"refused, and has not run", "targets of service holds have named limits of 1 requests a second together; the next permit was due after 907"},
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -46,6 +46,8 @@
 type Codec struct {
 	// DecodeCall decodes a caller's request and reads its body, which may be up to limit bytes long.
 	DecodeCall func(r *http.Request, limit int64) (*call.Call, error)
+	// DecodeKey decodes the API key of a caller's request, whose body is not read yet.
+	DecodeKey func(r *http.Request) string
 	// NewRequest encodes an attempt as the request to its target.
 	NewRequest func(ctx context.Context, c *call.Call, a *call.Attempt) (*http.Request, error)
 	// DecodeAnswer decodes the status and headers of a target's answer.
@@ -92,6 +94,7 @@
 	metrics   *processMetrics
 	metricSet *metrics.Set
 	transport *http.Transport
+	memory    buffers
 	socket    *datagram.Socket
 	started   time.Time
 	// settings are the current settings; Reload replaces them.
@@ -139,7 +142,7 @@
 func New(o Options) *Process {
 	set := metrics.NewSet()
 	p := &Process{
-		Options: o, metricSet: set, metrics: newProcessMetrics(set), transport: newTransport(), started: o.Now(), incarnation: o.Random.Uint64(),
+		Options: o, metricSet: set, metrics: newProcessMetrics(set), transport: newTransport(), memory: newBuffers(o.Settings.Memory), started: o.Now(), incarnation: o.Random.Uint64(),
 		registry: target.NewRegistry(), peers: newPeers(&o), targetsAt: -1, storeNews: make(chan struct{}, 1),
 		budgets: map[string]*budget.Budget{}, estimators: map[string]*seat.Estimator{}, queues: map[string]*seat.Queue{}, arrivals: map[string]*target.Arrivals{}, reservedSeats: map[string]int{},
 		suspects: suspect.NewTracker(), exclusive: map[uint64]bool{}, limits: newLimits(),
@@ -167,6 +170,9 @@
 	p.socket.Reachable = p.Reachable
 	group, work := errgroup.WithContext(work)
 	callers := &http.Server{Handler: http.HandlerFunc(p.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerSize}
+	if p.settings.Load().Memory > 0 {
+		callers.ConnContext = boundConnection
+	}
 	ready := &http.Server{Handler: http.HandlerFunc(p.ready), ReadHeaderTimeout: headerTimeout}
 	operators := &http.Server{Handler: p.metricsHandler(), ReadHeaderTimeout: headerTimeout}
 	for _, v := range []struct {
--- a/internal/process/gateway/gateway_attempt.go
+++ b/internal/process/gateway/gateway_attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -257,8 +256,12 @@
 	case v.headersSent:
 		return outcomeTruncated, nil, "target cannot go on: status " + strconv.Itoa(a.Status)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxPlainAnswer+1))
+	body, short, err := v.readPlain(response)
 	switch {
+	case short && a.Status < http.StatusInternalServerError:
+		return v.passOn(ctx, a, body, response)
+	case short:
+		return outcomeFailed, nil, errNoMemory.Error()
 	case err != nil && v.caller.Context().Err() != nil:
 		v.fate = suspect.FateSilent
 		return outcomeCallerLeft, nil, "caller left"
@@ -273,6 +276,8 @@
 	}
 	buffered := &bufferedAnswer{answer: a, body: body}
 	if a.Status >= http.StatusInternalServerError {
+		// It is kept during the next attempts.
+		v.requestHeld += max(int64(len(body))-answerBytes, 0)
 		return outcomeFailed, buffered.forwardable(), "target failed: status " + strconv.Itoa(a.Status)
 	}
 	v.writeAnswer(buffered)
--- a/internal/process/gateway/gateway_metrics.go
+++ b/internal/process/gateway/gateway_metrics.go
@@ -24,6 +24,9 @@
 	rests *metrics.Counter
 	// evacuations counts evacuated and returned data centres, and the requests that were refused because of evacuations.
 	evacuations *metrics.Counter
+	// memory counts the bytes that are held for callers, the requests that were refused for want of them, and the large answers that
+	// were passed on without being held.
+	memory *metrics.Counter
 	// timeToHeaders is the time from sending an attempt to the headers of its answer, duration that of a whole request,
 	// and eventGap that between two events of a stream.
 	timeToHeaders, duration, eventGap *metrics.Histogram
@@ -33,7 +36,7 @@
 	return &processMetrics{
 		requests: s.Counter("requests"), attempts: s.Counter("attempts"), storeCalls: s.Counter("reads"),
 		invalidRecords: s.Counter("unreadable"), datagrams: s.Counter("datagrams"), lostRuns: s.Counter("runs"), permits: s.Counter("permits"), rests: s.Counter("rests"),
-		evacuations:   s.Counter("evacuations"),
+		evacuations: s.Counter("evacuations"), memory: s.Counter("memory"),
 		timeToHeaders: s.Histogram("first"), duration: s.Histogram("whole"), eventGap: s.Histogram("pause"),
 	}
 }
--- a/internal/process/gateway/gateway_serve.go
+++ b/internal/process/gateway/gateway_serve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/call"
+	"github.com/dragonflydeal/dragonflydeal/internal/edge/memory"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/site"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/caller"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/suspect"
@@ -67,6 +68,11 @@
 	framed bool
 	// succeeded is set if the answer of the latest attempt has a status of success.
 	succeeded bool
+	// held is the memory that the request holds, of which requestHeld bytes are for the request itself. memoryShort is set if there was
+	// no room for it.
+	held        *memory.Hold
+	requestHeld int64
+	memoryShort bool
 	// headersSent is set once the headers of an answer were sent to the caller.
 	headersSent bool
 }
@@ -87,10 +93,16 @@
 		return
 	}
 	defer v.clearWriteLimit()
+	defer v.releaseMemory()
 	caller.LimitBody(w, r, limit, began)
+	v.holdRequest(limit)
 	c, err := p.Codec.DecodeCall(r, limit)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case v.memoryShort:
+		v.Call = c
+		v.refuseMemory()
+		return
 	case errors.As(err, &tooLarge):
 		v.refuse(http.StatusRequestEntityTooLarge, "body too long", 0)
 		return
--- a/internal/process/gateway/gateway_stream.go
+++ b/internal/process/gateway/gateway_stream.go
@@ -51,7 +51,11 @@
 	buffer := make([]byte, chunkSize)
 	for {
 		n, err := body.Read(buffer)
-		if complete := s.splitter.Add(buffer[:n]); len(complete) > 0 {
+		complete := s.splitter.Add(buffer[:n])
+		if !s.holdAnswer(s.splitter.Held() + len(complete)) {
+			return s.truncate(errNoMemory)
+		}
+		if len(complete) > 0 {
 			s.writeHeader(a)
 			s.limitWrite()
 			if _, e := s.writer.Write(complete); e != nil {
--- a/internal/proof/edge/rig_test.go
+++ b/internal/proof/edge/rig_test.go
@@ -2,6 +2,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -76,6 +77,8 @@
 	entries []*entry
 	// engine describes the engines of a group in the next configuration; nil for a plain service.
 	engine map[string]any
+	// timeoutMs is the time limit of requests in the next configuration; zero for two seconds.
+	timeoutMs int
 	// edit changes the settings of an entry that is added; nil for none.
 	edit func(number int, s *site.Settings)
 	// split is set while entries of odd and of even numbers do not reach each other.
@@ -208,7 +211,7 @@
 	p := gateway.New(gateway.Options{
 		Settings: e.settings,
 		Codec: gateway.Codec{
-			DecodeCall: platform.DecodeCall, NewRequest: platform.NewRequest, DecodeAnswer: platform.DecodeAnswer, SetAttemptID: platform.SetAttemptID,
+			DecodeCall: platform.DecodeCall, DecodeKey: platform.DecodeKey, NewRequest: platform.NewRequest, DecodeAnswer: platform.DecodeAnswer, SetAttemptID: platform.SetAttemptID,
 		},
 		Store: e.cuttableStore(platform.NewStore(r.address)),
 		Log:   slog.New(slog.DiscardHandler), Random: rand.New(rand.NewPCG(1, uint64(time.Now().UnixNano()))), Now: e.now, Boot: boot,
@@ -289,7 +292,7 @@
 func (r *rig) configure(version int, key string) {
 	route := func(name, kind string, attempts int, resumable bool) map[string]any {
 		return map[string]any{
-			"name": name, "host": "desk.example", "prefix": "/" + name + "/", "kind": kind, "timeoutMs": 2000, "goalMs": 500,
+			"name": name, "host": "desk.example", "prefix": "/" + name + "/", "kind": kind, "timeoutMs": cmp.Or(r.timeoutMs, 2000), "goalMs": 500,
 			"priority": 1, "service": "holds", "attempts": attempts, "resumable": resumable, "gapAimMs": 120,
 		}
 	}
