--- a/internal/process/gateway/gateway_metrics.go
+++ b/internal/process/gateway/gateway_metrics.go
@@ -31,6 +31,9 @@
 	// seats counts the decisions on seats, and seatWait is the time that requests waited for one.
 	seats    *metrics.Counter
 	seatWait *metrics.Histogram
+	// memory counts the bytes that are held for callers, the requests that were refused for want of them, and the large answers that
+	// were passed on without being held.
+	memory *metrics.Counter
 	// timeToHeaders is the time from sending an attempt to the headers of its answer, duration that of a whole request,
 	// and eventGap that between two events of a stream.
 	timeToHeaders, duration, eventGap *metrics.Histogram
@@ -41,8 +44,8 @@
 		requests: s.Counter("requests"), attempts: s.Counter("attempts"), storeCalls: s.Counter("reads"),
 		invalidRecords: s.Counter("unreadable"), datagrams: s.Counter("datagrams"), lostRuns: s.Counter("runs"), permits: s.Counter("permits"), rests: s.Counter("rests"), colds: s.Counter("cold"),
 		paces: s.Counter("paces"), stalls: s.Counter("stalls"),
-		evacuations: s.Counter("evacuations"),
-		seats:       s.Counter("seats"), seatWait: s.Histogram("wait"),
+		evacuations: s.Counter("evacuations"), memory: s.Counter("memory"),
+		seats: s.Counter("seats"), seatWait: s.Histogram("wait"),
 		timeToHeaders: s.Histogram("first"), duration: s.Histogram("whole"), eventGap: s.Histogram("pause"),
 	}
 }
