Let requests wait for the state of targets after a pause also if it was noticed late

A request that had passed the wait before the pause was noticed found all targets counted as cold; the reader of the store waited in a watch for a change.

--- a/internal/process/gateway/gateway_attempt.go
+++ b/internal/process/gateway/gateway_attempt.go
@@ -89,7 +89,6 @@
 			break
 		}
 		v.process.awaitCatchUp(v.caller.Context())
-		v.awaitTargets()
 		m := v.chooseTarget()
 		if m == nil {
 			if v.rejection.status != 0 {
--- a/internal/process/gateway/gateway_cold.go
+++ b/internal/process/gateway/gateway_cold.go
@@ -150,13 +150,19 @@
 	}
 }
 
-// awaitTargets waits until this process has learned after a pause which targets are cold. Meanwhile all of them count as cold, so requests
-// would be refused that warm targets can serve.
-func (v *request) awaitTargets() {
+// awaitTargets waits until a time, or until this process has learned after a pause which targets are cold. Meanwhile all of them count as cold, so requests
+// would be refused that warm targets can serve. It reports whether it has waited and they are known.
+func (v *request) awaitTargets(end time.Time) (learned bool) {
 	p, ctx := v.process, v.caller.Context()
-	for end := p.Now().Add(learnTime); p.unknown.Load() && p.Now().Before(end) && v.remaining() > 0 && ctx.Err() == nil; {
-		node.Pause(ctx, learnInterval)
+	if !p.unknown.Load() {
+		return false
 	}
+	for ; p.unknown.Load(); node.Pause(ctx, learnInterval) {
+		if ctx.Err() != nil || v.remaining() <= 0 || !p.Now().Before(end) {
+			return false
+		}
+	}
+	return true
 }
 
 // coldOwner returns the address of the entry to ask for permits of a cold target, which is invalid if it is this one; mu is held.
--- a/internal/process/gateway/gateway_follow.go
+++ b/internal/process/gateway/gateway_follow.go
@@ -146,6 +146,10 @@
 func (p *Process) readStore(ctx context.Context, s *storeState) {
 	began := p.Now()
 	startedAt, ok := p.Boot.Now()
+	if p.unknown.Load() {
+		// Requests wait to learn which targets have become cold in a pause; a watch would wait for a change.
+		s.revision = 0
+	}
 	err := p.syncOnce(ctx, s)
 	switch {
 	case errors.Is(err, site.ErrCompacted):
--- a/internal/process/gateway/gateway_run.go
+++ b/internal/process/gateway/gateway_run.go
@@ -184,9 +184,13 @@
 		p.reservedSeats[v.service.Name]--
 		p.mu.Unlock()
 	}
-	waiting := 1
+	waiting, learnBy := 1, p.Now().Add(learnTime)
 	for asks := 0; ; asks++ {
+		v.awaitTargets(learnBy)
 		m, missing := v.pickTarget(asks < maxAsks)
+		if m == nil && v.awaitTargets(learnBy) {
+			continue
+		}
 		if m == nil || !missing {
 			return m
 		}
