--- a/internal/proof/edge/rig_test.go
+++ b/internal/proof/edge/rig_test.go
@@ -74,8 +74,12 @@
 	address netip.AddrPort
 	targets []*target
 	entries []*entry
-	// engine describes the engines of a group in the next configuration; nil for a plain service.
-	engine map[string]any
+	// engine describes the engines of a group in the next configuration; nil for a plain service. A cold engine sustains coldPerS
+	// requests a second for coldS; zero says that no engine is cold.
+	engine          map[string]any
+	coldS, coldPerS float64
+	// bound is that of the settings of the entries that are added.
+	bound site.ColdBound
 	// split is set while entries of odd and of even numbers do not reach each other.
 	split atomic.Bool
 }
@@ -140,7 +144,15 @@
 // newSite starts entries that know each other, with a target for each handler.
 func newSite(t *testing.T, entries int, revoke time.Duration, handlers ...http.HandlerFunc) *rig {
 	t.Helper()
-	r := &rig{t: t, store: &store{values: map[string]json.RawMessage{}, created: map[string]int64{}}}
+	r := &rig{}
+	r.startSite(t, entries, revoke, handlers...)
+	return r
+}
+
+// startSite starts the site of a rig that has no field set but those of the configuration and the settings.
+func (r *rig) startSite(t *testing.T, entries int, revoke time.Duration, handlers ...http.HandlerFunc) {
+	t.Helper()
+	r.t, r.store = t, &store{values: map[string]json.RawMessage{}, created: map[string]int64{}}
 	storeServer := httptest.NewServer(r.store)
 	t.Cleanup(storeServer.Close)
 	r.address = netip.MustParseAddrPort(storeServer.Listener.Addr().String())
@@ -170,7 +182,6 @@
 			}
 		}
 	})
-	return r
 }
 
 // addEntry adds an entry that is not started. The first entry is the seed of all.
@@ -181,7 +192,7 @@
 	e := &entry{number: number, front: "http://" + front.String(), ready: "http://" + ready.String(), settings: &site.Settings{
 		Name: fmt.Sprintf("entry-%d", number), Centre: "c0", Peers: netip.AddrPortFrom(netip.AddrFrom4(host), seed.Port()),
 		Seeds: []netip.AddrPort{seed}, Metrics: loopback.FreeAddress(r.t), Callers: front, Ready: ready, History: 20 * time.Second,
-		Grace: 8 * time.Second, Revoke: revoke, Retries: site.RetryBound{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
+		Grace: 8 * time.Second, Revoke: revoke, Cold: r.bound, Retries: site.RetryBound{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 	}}
 	r.entries = append(r.entries, e)
 	return e
@@ -280,7 +291,7 @@
 	warmRoute["public"] = true
 	r.store.put("op/config", map[string]any{
 		"version":  version,
-		"services": []any{map[string]any{"name": "holds", "engine": r.engine}},
+		"services": []any{map[string]any{"name": "holds", "engine": r.engine, "coldS": r.coldS, "coldPerS": r.coldPerS}},
 		"tenants":  []any{map[string]any{"name": testWorkspace, "apiKeys": []string{key}}},
 		"limits":   map[string]any{"maxBodyBytes": 1 << 20},
 		"routes": []any{
