--- a/internal/group/hold/engine.go
+++ b/internal/group/hold/engine.go
@@ -40,7 +40,7 @@
 	OrderRelease OrderKind = "go"
 )
 
-// Order is an order to the rank's own engine.
+// Order is an order to the rank's own engine or, if the slot beside it is silent, to that of another rank.
 type Order struct {
 	Kind OrderKind
 	// Epoch identifies the group incarnation that the order is valid for.
--- a/internal/group/hold/settle.go
+++ b/internal/group/hold/settle.go
@@ -66,8 +66,8 @@
 	}
 }
 
-// tryResolve releases the group if all ranks are armed and stay so and no guard holds it, aborts if some rank is not armed, and otherwise
-// returns false.
+// tryResolve releases the group if all ranks are armed and stay so and no guard holds it, aborts if some rank is not armed, and
+// otherwise returns false.
 func (c *Core) tryResolve(now time.Time) bool {
 	version := c.engine.Armed
 	switch {
--- a/internal/process/sidecar/sidecar_deputy_test.go
+++ b/internal/process/sidecar/sidecar_deputy_test.go
@@ -14,14 +14,16 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/wire/message"
 )
 
-// TestEngineAddressInStates checks that a state carries the engine's address to the other slots, and that an engine of the own
-// machine only is named by the slot's address.
+// TestEngineAddressInStates checks that a state carries the engine's address to the other slots, that an engine of the own
+// machine only is named by the slot's address, and that an attempt says that it was aborted, or no restarted guard would release.
 func TestEngineAddressInStates(t *testing.T) {
 	is := is.New(t)
 	a := netip.MustParseAddrPort("10.2.0.38:8023")
 	is.Equal(decodeState(encodeState(hold.State{Rank: 3, Engine: a})), hold.State{Rank: 3, Engine: a})
 	is.Equal(decodeState(encodeState(hold.State{Rank: 3})).Engine, netip.AddrPort{})
 	is.Equal(decodeAddress(1, 70_000), netip.AddrPort{})
+	attempt := hold.Attempt{Ballot: hold.Ballot{Number: 3, LeaderIncarnation: 7}, Group: "g", Epoch: 1, Phase: hold.PhaseEnded, Step: 42, Aborted: true}
+	is.Equal(decodeAttempt(encodeAttempt(&attempt), 0), &attempt)
 	own := site.Settings{Engine: netip.MustParseAddrPort("127.0.0.1:8023"), Peers: netip.MustParseAddrPort("10.2.0.38:7340")}
 	is.Equal(reachableEngine(&own), a)
 	is.Equal(reachableEngine(&site.Settings{Engine: a, Peers: own.Peers}), a)
