Reach the engine of a frozen machine at the address under which it is listed

Cause: a slot told the deputies the address of its settings, which is on its own machine; a machine that is frozen does not answer there, so that a deputy that took over could not read or order the engine, and the group was held until the thaw. Change: a slot reads the record of its target once for each incarnation and tells the address in it.

--- a/internal/operator/commands/platform.go
+++ b/internal/operator/commands/platform.go
@@ -134,10 +134,11 @@
 		engine := platform.NewEngine(a)
 		return sidecar.Engine{Report: engine.Report, Counts: engine.Counts, Experts: engine.Experts, Order: engine.Order, ID: engine.ID}
 	}
+	store := platform.NewStore(s.Store)
 	p := sidecar.New(sidecar.Options{
 		Settings: s, Engine: engineAt(s.Engine), EngineAt: engineAt,
-		Configuration: platform.NewStore(s.Store).StaleConfiguration,
-		Log:           file.log, Incarnation: rand.Uint64(), Now: time.Now,
+		TargetAddress: store.TargetAddress, Configuration: store.StaleConfiguration,
+		Log: file.log, Incarnation: rand.Uint64(), Now: time.Now,
 	})
 	go file.watch(ctx, p.Reload)
 	return p.Run(ctx)
--- a/internal/process/sidecar/sidecar_identity.go
+++ b/internal/process/sidecar/sidecar_identity.go
@@ -24,6 +24,8 @@
 	id             string
 	startUnixMilli int64
 	readAt         time.Time
+	// addressed is set once the address under which the target is listed was read.
+	addressed bool
 	// told is what was last reported.
 	told group.Member
 }
@@ -34,6 +36,12 @@
 	v, now := &p.identity, p.Now()
 	start, path := v.engine.StartUnixMilli, v.healthPath
 	known := v.id != "" && v.startUnixMilli == start
+	if known && !v.addressed && now.Sub(v.readAt) >= identifyInterval && !p.core.Busy() {
+		v.readAt = now
+		p.mu.Unlock()
+		p.readAddress(ctx, v.id)
+		return
+	}
 	// A switch that waits for this slot may hold the group.
 	due := !known && path != "" && p.Engine.ID != nil && v.engine.Group != "" && now.Sub(v.readAt) >= identifyInterval && !p.core.Busy()
 	if due {
@@ -52,10 +60,26 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	v.id, v.startUnixMilli = id, start
+	v.id, v.startUnixMilli, v.addressed = id, start, p.TargetAddress == nil
 	p.Log.Info("target identified", "target", id, "group", v.engine.Group, "rank", v.engine.Rank)
 }
 
+// readAddress reads the address under which the target is listed. That of the settings is on this machine and does not answer
+// while the machine is frozen, although the engine runs on.
+func (p *Process) readAddress(ctx context.Context, id string) {
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	a, err := p.TargetAddress(ctx, id)
+	if err != nil {
+		p.Log.Warn("target address not read", "target", id, "error", err)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.identity.addressed = true
+	p.core.SetEngineAddress(a)
+}
+
 // member returns what to report now, which names no target while it is not known.
 func (v *identity) member() group.Member {
 	e := &v.engine
--- a/internal/process/sidecar/sidecar_identity_test.go
+++ b/internal/process/sidecar/sidecar_identity_test.go
@@ -33,6 +33,14 @@
 		}
 		return "i-1", nil
 	}
+	listed, addressReads := netip.MustParseAddrPort("10.9.0.1:80"), 0
+	p.TargetAddress = func(_ context.Context, id string) (netip.AddrPort, error) {
+		is.Equal(id, "i-1")
+		if addressReads++; addressReads == 1 {
+			return netip.AddrPort{}, errors.New("not listed yet")
+		}
+		return listed, nil
+	}
 	var sent []*message.GroupMember
 	reports := 0
 	p.transmit = func(n *message.News, _ []netip.AddrPort) error {
@@ -63,6 +71,10 @@
 	failing = false
 	play(4 * time.Second)
 	is.Equal(reads, 3)
+	// Other slots reach the engine at the address under which it is listed, also while this machine is frozen.
+	play(3 * time.Second)
+	is.Equal(addressReads, 2)
+	is.Equal(p.core.State(now).Engine, listed)
 	expected := group.Member{Target: target.Hash(&site.Target{ID: "i-1", StartUnixMilli: 70}), Group: group.Hash("g"), Pace: 1}
 	is.Equal(sent[len(sent)-1].Decode(), expected)
 	// A pace that varies is told with the next report, one that changes by much at once.
