--- a/internal/group/hold/pause_test.go
+++ b/internal/group/hold/pause_test.go
@@ -34,6 +34,9 @@
 		switch f.name {
 		case "frozen", "dead":
 			w.freeze(rank, thaw)
+		case "machine frozen":
+			w.freeze(rank, thaw)
+			w.pauses[rank].unreachable = true
 		case "restarted":
 			w.restart(rank)
 		case "cut off":
@@ -56,7 +59,7 @@
 		}
 		if !faultAt.IsZero() && w.now.Sub(faultAt) >= 4*time.Second && f.name != "dead" {
 			w.thaw(f.rank)
-			w.pauses[f.rank].cut = false
+			w.pauses[f.rank].cut, w.pauses[f.rank].unreachable = false, false
 		}
 		if (i+offset)%step == 0 {
 			before := w.engines[0].Step
@@ -103,3 +106,12 @@
 		}
 	}
 }
+
+// TestFrozenMachineDoesNotHoldTheGroup freezes the machine of the leader after its hold for four seconds, so that the other slots
+// can't reach the engine there either. The group must not be paused for longer than callers wait for an event.
+func TestFrozenMachineDoesNotHoldTheGroup(t *testing.T) {
+	f := singleFault{rank: 0, kind: OrderHold, after: true, name: "machine frozen"}
+	if pause := f.run(t, 1); pause > maxStall {
+		t.Errorf("the group was paused for %v", pause)
+	}
+}
--- a/internal/group/hold/world_fault_test.go
+++ b/internal/group/hold/world_fault_test.go
@@ -10,6 +10,8 @@
 	// steady is set if the slot's clock stands still during the freeze, and lag is how far it is behind.
 	steady bool
 	lag    time.Duration
+	// unreachable is set while other slots can't reach the engine beside this one.
+	unreachable bool
 	// cut is set while all datagrams from and to the slot are lost. Engines stay reachable.
 	cut bool
 }
@@ -22,6 +24,9 @@
 		return true
 	}
 	run := func() (report Engine, refused, ok bool) {
+		if w.pauses[call.Rank].unreachable {
+			return report, false, false
+		}
 		if call.Order != nil {
 			w.remoteOrders++
 			refused, _ = w.sendOrder(call.Rank, *call.Order)
