--- a/internal/edge/target/target.go
+++ b/internal/edge/target/target.go
@@ -28,12 +28,18 @@
 	failureShare float64
 	// updatedAt is the time of the latest result.
 	updatedAt time.Time
+	// slow is set if the target was slow when its pace was last set.
+	slow bool
 	// blockedUntil is the time until which the target is chosen only if there is no other.
 	blockedUntil time.Time
 	wish
+	// evacuated is set while the data centre is evacuated.
+	evacuated bool
 	// limit is the latest known limit. While the target has one, each request needs one of the permits.
 	limit Limit
 	limit.Holder
+	// cold is nil if the service's targets are never cold.
+	cold *coldness
 }
 
 // Running returns the known number of requests in progress at the target.
@@ -43,8 +49,8 @@
 
 // Change is a change of a target in a new list.
 type Change struct {
-	// Event is joined, leaving, gone, or kept if a leaving target stays after all. A target that restarts under the same
-	// ID is gone and joins.
+	// Event is joined, leaving, gone, kept if a leaving target stays after all, or moved if its record names another data centre or
+	// service. A target that restarts under the same ID is gone and joins.
 	Event string
 	Member
 }
@@ -60,12 +66,25 @@
 	wishes map[uint32]wish
 	// reach holds the data centres to which a connection failed and none was made since.
 	reach map[string]*centreReach
+	// evacuated holds the evacuated data centres by name, which need not have targets.
+	evacuated map[string]bool
 	// storeFailing is set if the latest read of the store failed.
 	storeFailing bool
 	// outageEndedAt is the end of the latest outage of the store.
 	outageEndedAt time.Time
 	// otherLoads holds the loads of the other entries by hash.
 	otherLoads map[uint32]int
+	// slowGroups holds the groups with a very slow target.
+	slowGroups map[uint32]bool
+	// paceChanges holds the members that have become slow or of usual pace since the last call of TakePaceChanges.
+	paceChanges []Member
+	// coldServices holds what cold targets sustain by service, and colds what is known of their incarnations by Hash. listed is set
+	// once the targets were listed.
+	coldServices map[string]site.Cold
+	colds        map[uint32]*coldness
+	listed       bool
+	// coldCount is at least the number of colds whose cold is set.
+	coldCount int
 	// candidates, costs and sorted are reused by each choice.
 	candidates    []*Member
 	costs, sorted []float64
@@ -73,7 +92,7 @@
 
 // NewRegistry returns an empty Registry.
 func NewRegistry() *Registry {
-	return &Registry{members: map[string]*Member{}, services: map[string][]*Member{}, hashes: map[uint32]*Member{}, wishes: map[uint32]wish{}, reach: map[string]*centreReach{}, otherLoads: map[uint32]int{}}
+	return &Registry{members: map[string]*Member{}, services: map[string][]*Member{}, hashes: map[uint32]*Member{}, wishes: map[uint32]wish{}, reach: map[string]*centreReach{}, slowGroups: map[uint32]bool{}, colds: map[uint32]*coldness{}, otherLoads: map[uint32]int{}}
 }
 
 // Hash returns a 32-bit identifier of an incarnation.
@@ -107,7 +126,10 @@
 		}
 		listed[t.ID] = true
 		changes = append(changes, r.applyTarget(t)...)
+		r.SetRank(r.members[t.ID], t.Group, t.Pace)
+		r.learnCold(now, &t, r.listed)
 	}
+	r.listed = true
 	for id, m := range r.members {
 		replaced := latest[m.Address] > m.Created
 		if listed[id] || now.Sub(r.outageEndedAt) < outageGrace && !replaced {
@@ -119,6 +141,7 @@
 	if len(changes) > 0 {
 		r.index()
 	}
+	r.forgetColds(now)
 	return changes
 }
 
@@ -143,8 +166,12 @@
 		m = &Member{Target: t, Hash: Hash(&t)}
 		m.Others, m.wish = r.otherLoads[m.Hash], r.wishes[m.Hash]
 		m.Leaving = m.Leaving || m.saidLeaving
+		m.evacuated = r.evacuated[m.Centre]
 		r.members[t.ID] = m
 		return append(changes, Change{Event: "joined", Member: *m})
+	case m.Centre != t.Centre || m.Service != t.Service:
+		r.relocate(m, t)
+		return []Change{{Event: "moved", Member: *m}}
 	case !m.Leaving && t.Leaving:
 		m.Leaving = true
 		return []Change{{Event: "leaving", Member: *m}}
@@ -159,6 +186,7 @@
 func (r *Registry) index() {
 	clear(r.services)
 	clear(r.hashes)
+	r.findSlowGroups()
 	for _, id := range slices.Sorted(maps.Keys(r.members)) {
 		m := r.members[id]
 		r.services[m.Service] = append(r.services[m.Service], m)
@@ -224,7 +252,7 @@
 // Width returns the number of requests that the targets of a service run at once, without those that accept no new ones.
 func (r *Registry) Width(service string) (n int) {
 	for _, m := range r.services[service] {
-		if !m.Leaving {
+		if !m.Leaving && !m.evacuated {
 			n += m.Width
 		}
 	}
@@ -234,7 +262,7 @@
 // Available returns the number of targets of a service that accept new requests.
 func (r *Registry) Available(service string) (n int) {
 	for _, m := range r.services[service] {
-		if !m.Leaving {
+		if !m.Leaving && !m.evacuated {
 			n++
 		}
 	}
--- a/internal/operator/commands/platform.go
+++ b/internal/operator/commands/platform.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime"
@@ -110,10 +111,10 @@
 	p := gateway.New(gateway.Options{
 		Settings: s,
 		Codec: gateway.Codec{
-			DecodeCall: platform.DecodeCall, NewRequest: platform.NewRequest, DecodeAnswer: platform.DecodeAnswer, SetAttemptID: platform.SetAttemptID,
+			DecodeCall: platform.DecodeCall, DecodeKey: platform.DecodeKey, NewRequest: platform.NewRequest, DecodeAnswer: platform.DecodeAnswer, SetAttemptID: platform.SetAttemptID,
 		},
 		Store: gateway.Store{
-			Configuration: store.Configuration, StaleConfiguration: store.StaleConfiguration, Changes: store.Changes, Targets: store.Targets, Close: store.Close,
+			Configuration: store.Configuration, StaleConfiguration: store.StaleConfiguration, Changes: store.Changes, Targets: store.Targets, Evacuations: store.Evacuations, Close: store.Close,
 		},
 		Log: file.log, Random: newRandom(), Now: time.Now, Boot: boot,
 	})
@@ -129,12 +130,15 @@
 	if err != nil {
 		return err
 	}
-	engine := platform.NewEngine(s.Engine)
+	engineAt := func(a netip.AddrPort) sidecar.Engine {
+		engine := platform.NewEngine(a)
+		return sidecar.Engine{Report: engine.Report, Counts: engine.Counts, Experts: engine.Experts, Order: engine.Order, ID: engine.ID}
+	}
+	store := platform.NewStore(s.Store)
 	p := sidecar.New(sidecar.Options{
-		Settings:      s,
-		Engine:        sidecar.Engine{Report: engine.Report, Counts: engine.Counts, Experts: engine.Experts, Order: engine.Order},
-		Configuration: platform.NewStore(s.Store).StaleConfiguration,
-		Log:           file.log, Incarnation: rand.Uint64(), Now: time.Now,
+		Settings: s, Engine: engineAt(s.Engine), EngineAt: engineAt,
+		TargetAddress: store.TargetAddress, Configuration: store.StaleConfiguration,
+		Log: file.log, Incarnation: rand.Uint64(), Now: time.Now,
 	})
 	go file.watch(ctx, p.Reload)
 	return p.Run(ctx)
--- a/internal/operator/trace/cause.go
+++ b/internal/operator/trace/cause.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -52,6 +53,10 @@
 		causes = append(causes, t.explainLimits()...)
 	case strings.HasPrefix(reason, "the targets have asked for rest"):
 		causes = append(causes, t.explainRests()...)
+	case strings.HasPrefix(reason, "all data centres with targets"):
+		causes = append(causes, t.explainEvacuation()...)
+	case strings.HasPrefix(reason, "no memory"):
+		causes = append(causes, t.explainMemory()...)
 	case strings.HasPrefix(reason, "no target"):
 		causes = append(causes, t.explainMissingTargets()...)
 	}
@@ -60,7 +65,7 @@
 	if strings.HasPrefix(end.Get("outcome"), "status=") && end.Get("sends") == "0" && reason != "no seat" {
 		return causes
 	}
-	return append(causes, t.explainSlowSteps()...)
+	return append(append(causes, t.explainSlowSteps()...), t.explainPaces()...)
 }
 
 // describeOutcome returns a sentence on how the request ended.
@@ -97,16 +102,20 @@
 		if l.Get("late") == "true" {
 			causes = append(causes, "It could no longer meet its deadline, so the last seats were reserved for requests that could.")
 		}
+		causes = append(causes, explainQueue(l)...)
 	}
 	return causes
 }
 
-// explainLimits explains a refusal because of the limits that targets name.
+// explainLimits explains a refusal because of the limits that targets name, or of what they sustain while they are cold.
 func (t *Trace) explainLimits() (causes []string) {
 	for _, l := range t.Lines {
 		if l.Message == "no permit" {
 			causes = append(causes, fmt.Sprintf("The targets of service %s have named limits of %s requests a second together; the next permit was due after %s.",
 				l.Get("service"), l.Get("rate"), l.Get("wait")))
+			if cold := l.Get("cold"); cold != "" && cold != "0" {
+				causes = append(causes, fmt.Sprintf("%s of them were cold and counted with what they sustain after a start.", cold))
+			}
 		}
 	}
 	return causes
@@ -123,6 +132,33 @@
 	return causes
 }
 
+// explainEvacuation explains a refusal because all data centres with targets of a service were evacuated.
+func (t *Trace) explainEvacuation() (causes []string) {
+	for _, l := range t.Lines {
+		if l.Message != "service evacuated" {
+			continue
+		}
+		causes = append(causes, fmt.Sprintf("Operators had evacuated all data centres with targets of service %s: %s.", l.Get("service"), l.Get("centres")))
+		for _, s := range t.States {
+			if s.Message == "centre evacuated" && s.Instance == l.Instance && slices.Contains(strings.Split(l.Get("centres"), ","), s.Get("centre")) {
+				causes = append(causes, fmt.Sprintf("Data centre %s was evacuated at %s.", s.Get("centre"), formatClock(s.Time)))
+			}
+		}
+	}
+	return causes
+}
+
+// explainMemory explains a refusal because callers held the memory of the entry.
+func (t *Trace) explainMemory() (causes []string) {
+	for _, l := range t.Lines {
+		if l.Message == "no memory" {
+			causes = append(causes, fmt.Sprintf("It needed %s bytes, and all requests at entry %s together held %s: callers send or read slowly, or its workspace held its part.",
+				l.Get("wanted"), l.Instance, l.Get("used")))
+		}
+	}
+	return causes
+}
+
 // explainRefusal explains why a target refused the request.
 func (t *Trace) explainRefusal(end Line) []string {
 	engine := faultyEngine(end)
@@ -193,11 +229,11 @@
 
 // explainSlowSteps explains what made the steps of the group slow.
 func (t *Trace) explainSlowSteps() (causes []string) {
-	worstSkew, at := 0.0, time.Time{}
+	worstSkew, at, cause := 0.0, time.Time{}, ""
 	for _, l := range t.States {
 		skew, err := strconv.ParseFloat(l.Get("skew"), 64)
 		if l.Message == "balance" && err == nil && skew > worstSkew {
-			worstSkew, at = skew, l.Time
+			worstSkew, at, cause = skew, l.Time, slowReason(l)
 		}
 		if l.Message == "switch" && (l.Get("event") == "abort" || l.Get("event") == "settle") {
 			causes = append(causes, fmt.Sprintf("A switch of expert maps was given up at %s (%s); the group was paused until its ranks were released.", formatClock(l.Time), reasonOrDefault(l.Get("reason"))))
@@ -208,7 +244,7 @@
 		}
 	}
 	if worstSkew >= skewThreshold {
-		causes = append(causes, fmt.Sprintf("Steps took %.1f times those of an evenly loaded group at %s: demand for experts had shifted.", worstSkew, formatClock(at)))
+		causes = append(causes, fmt.Sprintf("Steps took %.1f times those of an evenly loaded group at %s: %s.", worstSkew, formatClock(at), cause))
 	}
 	return causes
 }
--- a/internal/process/gateway/gateway_attempt.go
+++ b/internal/process/gateway/gateway_attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -40,13 +39,13 @@
 
 // newTransport returns the HTTP transport to all targets. Each attempt uses a new connection, so that bytes of an earlier
 // answer cannot be mistaken for this one and no request is lost on an idle connection that the target closes.
-func newTransport() *http.Transport {
+func newTransport(now func() time.Time) *http.Transport {
 	d := &net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
 	}
 	return &http.Transport{
-		DialContext: d.DialContext, DisableCompression: true, DisableKeepAlives: true, MaxResponseHeaderBytes: answer.MaxHeader,
+		DialContext: dialInTime(now, d.DialContext), DisableCompression: true, DisableKeepAlives: true, MaxResponseHeaderBytes: answer.MaxHeader,
 	}
 }
 
@@ -132,7 +131,7 @@
 		return false
 	}
 	// What never reached a target is no retry there.
-	return v.unreached || v.takeRetry()
+	return v.unreached || v.unsent || v.takeRetry()
 }
 
 // fail ends a request that no target served, with the last error answer of a target if there is one. Otherwise the
@@ -174,7 +173,7 @@
 	p := v.process
 	began := p.Now()
 	v.fate, v.events, v.heardAt, v.succeeded = suspect.FateNone, 0, began, false
-	v.statement, v.groupRefused, v.unreached, v.connected = call.Statement{}, v.service.Grouped(), false, false
+	v.statement, v.groupRefused, v.unreached, v.unsent, v.connected = call.Statement{}, v.service.Grouped(), false, false, false
 	defer func() {
 		running := v.releaseTarget(m, result)
 		p.metrics.attempts.With("outcome", result.String()).Add(1)
@@ -183,9 +182,10 @@
 				"outcome", result, "reason", reason, "took", p.Now().Sub(began), "running", running, "wait", v.statement.Wait, "leaving", v.statement.Leaving, "events", v.events, "parts", formatParts(v.Parts))
 		}
 	}()
+	defer v.beginStream(m)()
 	ctx, cancel := context.WithDeadlineCause(v.caller.Context(), v.deadline, context.DeadlineExceeded)
 	defer cancel()
-	ctx, stop := context.WithCancelCause(ctx)
+	ctx, stop := context.WithCancelCause(withSendBy(ctx, v.sendBy))
 	defer stop(nil)
 	if wait := v.attemptTimeout(); wait > 0 {
 		t := time.AfterFunc(wait, func() { stop(errAttemptTimeout) })
@@ -199,7 +199,7 @@
 	}
 	response, err := p.transport.RoundTrip(r)
 	if err != nil {
-		return v.classifyError(ctx, err)
+		return v.classifyError(ctx, m, err)
 	}
 	v.connected = true
 	defer response.Body.Close()
@@ -221,15 +221,21 @@
 }
 
 // classifyError returns the outcome of an attempt that ended without an answer.
-func (v *request) classifyError(ctx context.Context, err error) (outcome, *bufferedAnswer, string) {
+func (v *request) classifyError(ctx context.Context, m *target.Member, err error) (outcome, *bufferedAnswer, string) {
 	var op *net.OpError
 	switch {
 	case v.caller.Context().Err() != nil:
 		v.fate = suspect.FateSilent
 		return outcomeCallerLeft, nil, "caller left"
+	case errors.Is(err, errPermitLapsed):
+		v.unsent, v.groupRefused = true, false
+		return outcomeNotRun, nil, err.Error()
 	case errors.As(err, &op) && op.Op == "dial":
 		// Of a group whose rank cannot be reached nothing is known, and other groups may serve the request.
 		v.unreached, v.groupRefused = true, false
+		v.process.mu.Lock()
+		v.process.noteUnreachable(v.process.Now(), m, err)
+		v.process.mu.Unlock()
 		return outcomeNotRun, nil, "not connected: " + err.Error()
 	}
 	v.fate = lostFate(ctx)
@@ -258,8 +264,12 @@
 	case v.headersSent:
 		return outcomeTruncated, nil, "target cannot go on: status " + strconv.Itoa(a.Status)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxPlainAnswer+1))
+	body, short, err := v.readPlain(response)
 	switch {
+	case short && a.Status < http.StatusInternalServerError:
+		return v.passOn(ctx, a, body, response)
+	case short:
+		return outcomeFailed, nil, errNoMemory.Error()
 	case err != nil && v.caller.Context().Err() != nil:
 		v.fate = suspect.FateSilent
 		return outcomeCallerLeft, nil, "caller left"
@@ -274,6 +284,8 @@
 	}
 	buffered := &bufferedAnswer{answer: a, body: body}
 	if a.Status >= http.StatusInternalServerError {
+		// It is kept during the next attempts.
+		v.requestHeld += max(int64(len(body))-answerBytes, 0)
 		return outcomeFailed, buffered.forwardable(), "target failed: status " + strconv.Itoa(a.Status)
 	}
 	v.writeAnswer(buffered)
--- a/internal/process/gateway/gateway_member.go
+++ b/internal/process/gateway/gateway_member.go
@@ -57,6 +57,7 @@
 func (p *Process) receiveRelay(now time.Time, peer *mesh.Peer, n *message.News) {
 	if peer.Centre != p.settings.Load().Centre {
 		peer.Loads = n.Relay.Loads.Decode()
+		p.learnMembers(now, n.Relay.Members)
 		return
 	}
 	if n.Answer == nil {
@@ -88,7 +89,7 @@
 	}
 	m.seenAt = now
 	if n.Answer.Through != m.Sequence && (n.Answer.Reset_ || n.Answer.Through > m.Sequence) {
-		m.Apply(n.Answer.DecodePage())
+		m.Apply(n.Answer.DecodePage(now))
 		p.mirrorsChanged = true
 	}
 	p.wantedVersion = max(p.wantedVersion, n.Relay.Version)
@@ -103,6 +104,7 @@
 	if at > p.targetsAt {
 		p.targetsAt = at
 		p.setTargets(now, m.Targets(), now.Add(at-boot))
+		p.setCentres(now, n.Relay.Evacuated)
 	}
 	if p.version() < n.Relay.Version {
 		p.wakeStore()
--- a/internal/process/gateway/gateway_relay.go
+++ b/internal/process/gateway/gateway_relay.go
@@ -32,6 +32,8 @@
 	// negative if it never has.
 	feed   *inventory.Feed
 	readAt time.Duration
+	// evacuated are the evacuated data centres as of readAt.
+	evacuated []string
 	// relayedAt is when a datagram was last sent as a relay, and sentLoads the loads that it had.
 	relayedAt time.Time
 	sentLoads map[uint32]int
@@ -100,6 +102,7 @@
 	if n.Report == nil {
 		return
 	}
+	p.learnMember(now, n)
 	view := p.mesh.View(now)
 	digest := view.Digest()
 	reply := p.newDatagram()
@@ -177,6 +180,8 @@
 	centre := mesh.View{view.Centre(p.settings.Load().Centre)}
 	digest := centre.Digest()
 	n.Relay = &message.Relay{Settled: p.mesh.Settled(now), View: digest, Loads: message.EncodeLoads(p.centreLoads())}
+	n.Relay.Members, n.Relay.Whole = p.nextMembers(now)
+	p.tellKnown(now, n.Relay)
 	to := p.mesh.OtherRelays(now)
 	if digest != p.sentView || now.Sub(p.viewSentAt) >= centreViewInterval {
 		p.viewSentAt, p.sentView = now, digest
@@ -198,7 +203,9 @@
 	digest := view.Digest()
 	n.Relay = &message.Relay{
 		Settled: p.mesh.Settled(now), View: digest, Loads: message.EncodeLoads(loads), Version: p.sentVersion, Inventory: p.feed.Sequence(), Blind: p.blind,
+		Evacuated: p.evacuated,
 	}
+	p.tellKnown(now, n.Relay)
 	if ended := p.registry.OutageEndedAt(); !ended.IsZero() {
 		n.Relay.Outage = max(now.Sub(ended).Microseconds(), 1)
 	}
@@ -228,18 +235,19 @@
 		return a
 	}
 	page := p.feed.After(m.inventory)
-	a.Reset_, a.Through, a.Targets = page.Reset, page.Through, message.EncodeTargets(page.Records)
+	a.Reset_, a.Through, a.Targets = page.Reset, page.Through, message.EncodeTargets(now, page.Records)
 	m.sentThrough, m.sentAt = page.Through, now
 	return a
 }
 
-// updateFeed passes on the targets that this entry has read from the store, complete as of readAt, and tells the members at
-// once if they or the version of the configuration have changed.
-func (p *Process) updateFeed(targets map[string]site.Target, readAt time.Duration) {
+// updateFeed passes on the targets and the evacuated data centres that this entry has read from the store, complete as of readAt, and
+// tells the members at once if they or the version of the configuration have changed.
+func (p *Process) updateFeed(targets map[string]site.Target, centres []string, readAt time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	changed := p.feed.Update(targets) || p.version() != p.sentVersion
-	p.readAt = readAt
+	centres = relayedCentres(centres, targets)
+	changed := p.feedTargets(targets) || p.version() != p.sentVersion || !slices.Equal(centres, p.evacuated)
+	p.readAt, p.evacuated = readAt, centres
 	if changed && p.mesh.IsRelay() {
 		p.relay(p.Now())
 	}
--- a/internal/process/gateway/gateway_run.go
+++ b/internal/process/gateway/gateway_run.go
@@ -8,7 +8,6 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/budget"
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/seat"
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/target"
-	"github.com/dragonflydeal/dragonflydeal/internal/fleet/site"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/suspect"
 )
 
@@ -21,7 +20,7 @@
 	maxAttempts = 3
 )
 
-// dispatch chooses a service for the request and serves it. For a group of engines the request needs a seat first.
+// dispatch chooses a service for the request and serves it. The request needs a seat first.
 func (v *request) dispatch() {
 	p := v.process
 	name := v.pickService()
@@ -33,21 +32,17 @@
 	now := p.Now()
 	verdict, by := p.suspects.Check(now, v.fingerprint, v.parts)
 	v.rejection = v.checkSuspect(now, verdict, by)
-	p.mu.Unlock()
 	if available == 0 {
-		v.refuse(http.StatusServiceUnavailable, "no target of "+name, shortRetryAfter)
-		return
+		v.rejection = cmp.Or(v.rejectEvacuated(name), rejection{http.StatusServiceUnavailable, "no target of " + name, shortRetryAfter})
 	}
+	p.mu.Unlock()
 	if r := v.rejection; r.status != 0 {
 		v.refuse(r.status, r.reason, r.retryAfter)
 		return
 	}
 	defer v.endExclusive()
-	if !v.service.Grouped() {
-		v.serveAttempts()
-		return
-	}
 	if v.acquireSeat() {
+		defer v.releaseSeat()
 		v.serveAttempts()
 	}
 }
@@ -103,93 +98,27 @@
 	return e
 }
 
-// occupancy returns the number of streams in progress at a service and its number of seats; mu is held.
-func (p *Process) occupancy(s *site.Service, gap time.Duration) (running, seats int) {
-	ranks := p.registry.Available(s.Name)
-	running = p.registry.Running(s.Name) + p.reservedSeats[s.Name]
-	return running, min(p.estimator(s.Name).Seats(p.Now(), s, gap, ranks), p.registry.Width(s.Name))
-}
-
-// acquireSeat waits for a seat and reports whether the request got one. If not, the request has ended.
-func (v *request) acquireSeat() bool {
-	p := v.process
-	w := &seat.Waiter{
-		Priority: v.priority, Late: v.pastGoal(), Arrived: v.began, Goal: v.route.Goal, Gap: v.route.Gap, Done: make(chan bool, 1),
-	}
-	p.mu.Lock()
-	name := v.service.Name
-	queue := p.queues[name]
-	if queue == nil {
-		queue = &seat.Queue{}
-		p.queues[name] = queue
-	}
-	running, seats := p.occupancy(v.service, v.route.Gap)
-	decided, admitted := queue.Offer(w, running, seats)
-	if decided && admitted {
-		p.reservedSeats[name]++
-	}
-	gap := p.estimator(name).MeanGap(p.Now())
-	retryAfter := seat.RetryAfter(p.Random)
-	p.mu.Unlock()
-	if !decided {
-		select {
-		case admitted = <-w.Done:
-		case <-v.caller.Context().Done():
-			v.cancelWait(queue, w)
-			v.abandon("abandoned", "caller left while it waited for a seat")
-		}
-	}
-	if !admitted {
-		p.Log.Info("no seat", "id", v.ID, "service", name, "running", running, "seats", seats, "pause", gap, "late", w.Late)
-		v.refuse(http.StatusServiceUnavailable, "no seat", retryAfter)
-	}
-	return admitted
-}
-
-// pastGoal reports whether the answer can no longer be on time. A caller that retries sends the time that it has left
-// as its timeout, so the difference to the route's timeout has already passed; it may exceed the goal.
-func (v *request) pastGoal() bool {
-	return v.Timeout > 0 && v.route.Timeout-v.Timeout > v.route.Goal
-}
-
-// cancelWait removes a request whose caller left from the queue, or returns the seat that it was given meanwhile.
-func (v *request) cancelWait(queue *seat.Queue, w *seat.Waiter) {
-	p := v.process
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	queue.Remove(w)
-	select {
-	case admitted := <-w.Done:
-		if admitted {
-			p.reservedSeats[v.service.Name]--
-		}
-	default:
-	}
-}
-
-// admitWaiting gives free seats of a service to waiting requests; mu is held.
-func (p *Process) admitWaiting(service string, queue *seat.Queue) {
-	s := p.configuration.Load().Service(service)
-	running, seats := p.occupancy(s, queue.Gap())
-	p.reservedSeats[service] += queue.Dispatch(p.Now(), running, seats)
-}
-
 // chooseTarget picks the next target and counts the request as in progress there. It returns nil if there is no target, or if
 // the request is rejected because it may end its target or because the targets take no more.
 func (v *request) chooseTarget() *target.Member {
 	p := v.process
-	if v.attempts == 0 && v.service.Grouped() {
+	if v.attempts == 0 && v.waiter != nil {
 		p.mu.Lock()
 		p.reservedSeats[v.service.Name]--
 		p.mu.Unlock()
 	}
-	waiting := 1
+	waiting, learnBy := 1, p.Now().Add(learnTime)
 	for asks := 0; ; asks++ {
+		v.awaitTargets(learnBy)
 		m, missing := v.pickTarget(asks < maxAsks)
+		if m == nil && v.awaitTargets(learnBy) {
+			continue
+		}
 		if m == nil || !missing {
 			return m
 		}
 		waiting = p.awaitPermit(v.caller.Context(), m, v.priority, waiting)
+		p.awaitCatchUp(v.caller.Context())
 	}
 }
 
@@ -204,7 +133,7 @@
 	if v.rejection = v.checkSuspect(now, verdict, by); v.rejection.status != 0 {
 		return nil, false
 	}
-	choice := target.Choice{Service: v.service.Name, Centre: p.settings.Load().Centre, Tried: v.tried, Priority: v.priority, MayAsk: mayAsk, Unknown: p.unknownRequests(now, v.service.Name)}
+	choice := target.Choice{Service: v.service.Name, Centre: p.settings.Load().Centre, Tried: v.tried, Priority: v.priority, MayAsk: mayAsk, Unknown: p.unknownRequests(now, v.service.Name), Stalled: p.stalls.Stalled()}
 	if verdict == suspect.Suspected {
 		v.beginExclusive(by)
 		m = p.registry.ChooseFixed(now, choice, by[0], func(hash uint32) bool { return p.suspects.HasLost(now, by[0], hash) })
@@ -212,14 +141,15 @@
 		m = p.registry.Choose(now, choice, p.Random.Float64())
 	}
 	if m == nil && v.runs == 0 {
-		v.rejection = cmp.Or(v.rejectLimited(now, choice), v.rejectResting(now, choice))
+		v.rejection = cmp.Or(v.rejectEvacuated(choice.Service), v.rejectLimited(now, choice), v.rejectResting(now, choice))
 	}
 	if m == nil {
 		return nil, false
 	}
-	if m.Limit().Limited && !m.TakePermit(now) {
+	if m.Limited(now) && !m.TakePermit(now) {
 		return m, true
 	}
+	v.sendBy = sendBy(now, m)
 	m.Own++
 	p.registry.NoteAttempt(now, m)
 	v.tried[m.ID] = true
@@ -252,6 +182,7 @@
 		// A target that asks for rest has named the time in which it is not used.
 		m.RecordResult(now, result != outcomeServed && result != outcomeCallerLeft)
 	}
+	p.noteLost(now, m, v.fate)
 	v.recordRun(now, m, result)
 	if queue := p.queues[v.service.Name]; queue != nil && queue.Waiting() > 0 {
 		p.admitWaiting(v.service.Name, queue)
--- a/internal/process/gateway/gateway_stream.go
+++ b/internal/process/gateway/gateway_stream.go
@@ -10,7 +10,6 @@
 
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/call"
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/events"
-	"github.com/dragonflydeal/dragonflydeal/internal/edge/seat"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/answer"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/suspect"
 )
@@ -51,7 +50,11 @@
 	buffer := make([]byte, chunkSize)
 	for {
 		n, err := body.Read(buffer)
-		if complete := s.splitter.Add(buffer[:n]); len(complete) > 0 {
+		complete := s.splitter.Add(buffer[:n])
+		if !s.holdAnswer(s.splitter.Held() + len(complete)) {
+			return s.truncate(errNoMemory)
+		}
+		if len(complete) > 0 {
 			s.writeHeader(a)
 			s.limitWrite()
 			if _, e := s.writer.Write(complete); e != nil {
@@ -61,6 +64,7 @@
 			s.flush()
 			s.observeGap()
 			s.noteEvent()
+			s.noteGroupEvent()
 		}
 		switch {
 		case s.splitter.TooLong():
@@ -116,6 +120,9 @@
 func (s *stream) noteEvent() {
 	s.events++
 	s.heardAt = s.process.Now()
+	if s.firstAt.IsZero() {
+		s.firstAt = s.heardAt
+	}
 	if s.events != suspect.SurvivalEvents {
 		return
 	}
@@ -133,8 +140,7 @@
 		p.metrics.eventGap.Observe(gap.Seconds())
 		p.mu.Lock()
 		name := s.service.Name
-		o := seat.Occupancy{Own: p.registry.Own(name), Running: p.registry.Running(name), Ranks: p.registry.Available(name)}
-		p.estimator(name).Observe(now, gap, o, s.service, s.route.Gap)
+		p.estimator(name).Observe(now, gap, p.registry.GroupOccupancy(name, s.group), s.service, s.route.Gap)
 		p.mu.Unlock()
 	}
 	s.lastEvent = now
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -58,12 +58,20 @@
 	Experts func(ctx context.Context) (hold.RankExperts, error)
 	// Order sends an order to the engine. After an error, the outcome is unknown.
 	Order func(ctx context.Context, o *hold.Order) (refused bool, err error)
+	// ID reads the ID of the target at the health path of its service.
+	ID func(ctx context.Context, healthPath string) (string, error)
 }
 
 // Options are the inputs of New.
 type Options struct {
 	Settings *site.Settings
 	Engine   Engine
+	// EngineAt returns the functions that call the engine at an address, on another machine. They are called only to end a switch
+	// while the slot beside that engine is silent.
+	EngineAt func(netip.AddrPort) Engine
+	// TargetAddress reads the address under which a target is listed, at which other slots reach the engine while this machine is
+	// frozen or cut off; nil if there is none but that of the settings.
+	TargetAddress func(ctx context.Context, id string) (netip.AddrPort, error)
 	// Configuration reads the configuration, which may be stale or nil.
 	Configuration func(ctx context.Context) (*site.Configuration, error)
 	Log           *slog.Logger
@@ -85,15 +93,24 @@
 	transmit func(n *message.News, addresses []netip.AddrPort) error
 	// wake ends the wait of followEngine; it buffers one signal.
 	wake chan struct{}
+	// remoteCalls counts the calls in progress at engines of other ranks.
+	remoteCalls sync.WaitGroup
 
 	// mu guards the fields below.
-	mu      sync.Mutex
-	core    *hold.Core
-	mesh    *mesh.Mesh
-	planner *load.Planner
+	mu   sync.Mutex
+	core *hold.Core
+	// remoteEngines are the engines of other ranks that the present recovery calls, by address.
+	remoteEngines map[netip.AddrPort]Engine
+	// remoteErrors holds the latest logged error of each of them.
+	remoteErrors map[netip.AddrPort]string
+	mesh         *mesh.Mesh
+	planner      *load.Planner
 	// tally turns the engine's running totals into increments for the leader.
 	tally    load.Tally
 	sequence uint64
+	// paceFilter steadies the engine's pace.
+	paceFilter hold.PaceFilter
+	identity   identity
 	// suspects holds the lost runs that entries have reported, for entries that start when no other entry runs.
 	suspects *suspect.Tracker
 	// expertConfig describes the group's experts; nil until the configuration was read.
@@ -105,6 +122,8 @@
 	// it knows, plus one.
 	rankStates map[netip.AddrPort]hold.State
 	knownMaps  map[netip.AddrPort]uint64
+	// slowRanks holds the ranks that are slow, as far as this slot follows them.
+	slowRanks map[int]bool
 	// currentMap is the complete map in use; its Sets are nil while it is not known.
 	currentMap patch.Map
 	// unpatchedEpoch is the latest epoch in which a patch did not fit, so that its first map is not as assumed.
@@ -122,6 +141,9 @@
 	stateThrottleToRanks throttle[attemptKey]
 	stateThrottle        throttle[hold.State]
 	leaderSearchThrottle throttle[struct{}]
+	// deputyThrottles limits the datagrams with states to each deputy, and announceThrottle those of a deputy to all slots.
+	deputyThrottles  map[netip.AddrPort]throttle[hold.State]
+	announceThrottle throttle[struct{}]
 	// attemptBandwidth limits the bytes of attempts, and attemptsSent limits those to each slot.
 	attemptBandwidth *rate.Limiter
 	attemptsSent     map[netip.AddrPort]throttle[attemptKey]
@@ -132,12 +154,14 @@
 	set := metrics.NewSet()
 	p := &Process{
 		Options: o, metricSet: set, metrics: newProcessMetrics(set), wake: make(chan struct{}, 1), core: hold.New(o.Now(), o.Incarnation),
-		rankStates: map[netip.AddrPort]hold.State{}, knownMaps: map[netip.AddrPort]uint64{}, attemptsSent: map[netip.AddrPort]throttle[attemptKey]{},
+		rankStates: map[netip.AddrPort]hold.State{}, knownMaps: map[netip.AddrPort]uint64{}, slowRanks: map[int]bool{}, attemptsSent: map[netip.AddrPort]throttle[attemptKey]{},
+		deputyThrottles: map[netip.AddrPort]throttle[hold.State]{}, remoteEngines: map[netip.AddrPort]Engine{}, remoteErrors: map[netip.AddrPort]string{},
 		attemptBandwidth: rate.NewLimiter(rate.Limit(attemptLinkShare*linkRate(o.Settings)), attemptBurst),
 		mesh:             mesh.New(mesh.Peer{Address: o.Settings.Peers, Centre: o.Settings.Centre, Slot: true}, relaySilence, o.Settings.Seeds),
 		suspects:         suspect.NewTracker(),
 	}
 	p.settings.Store(o.Settings)
+	p.core.SetEngineAddress(reachableEngine(o.Settings))
 	return p
 }
 
@@ -170,9 +194,11 @@
 	}
 	group.Go(func() error { return p.socket.Receive(ctx, p.receive, p.rejectDatagram) })
 	group.Go(func() error { p.followEngine(ctx); return nil })
+	group.Go(func() error { p.repeatStates(ctx); return nil })
 	group.Go(func() error { p.followConfiguration(ctx); return nil })
 	p.Log.Info("start", "role", "slot", "centre", p.settings.Load().Centre, "engine", p.settings.Load().Engine, "incarnation", p.Incarnation)
 	err = group.Wait()
+	p.remoteCalls.Wait()
 	p.Log.Info("stop", "error", err)
 	return err
 }
@@ -224,6 +250,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.identity.healthPath = service.HealthPath
 	if p.expertConfig != nil && *p.expertConfig == service.Experts {
 		return
 	}
@@ -237,15 +264,19 @@
 type processMetrics struct {
 	// orders counts orders by kind and outcome, and switches the events of switches by kind.
 	orders, switches *metrics.Counter
+	// remote counts calls at engines of other ranks by kind and outcome.
+	remote *metrics.Counter
 	// datagrams counts datagrams that were not sent, could not be decoded or were out of date.
 	datagrams *metrics.Counter
+	// paces counts how often a rank became slow, and of usual pace again.
+	paces *metrics.Counter
 	// orderTime is the duration of an order, also of one without an answer.
 	orderTime *metrics.Histogram
 }
 
 func newProcessMetrics(s *metrics.Set) *processMetrics {
 	return &processMetrics{
-		orders: s.Counter("orders"), switches: s.Counter("switches"), datagrams: s.Counter("datagrams"), orderTime: s.Histogram("order"),
+		orders: s.Counter("orders"), remote: s.Counter("remote"), switches: s.Counter("switches"), datagrams: s.Counter("datagrams"), paces: s.Counter("paces"), orderTime: s.Histogram("order"),
 	}
 }
 
--- a/internal/process/sidecar/sidecar_engine.go
+++ b/internal/process/sidecar/sidecar_engine.go
@@ -24,9 +24,11 @@
 		reachable = err == nil
 		if reachable {
 			p.runOrders(ctx, p.sendState)
+			p.startRemoteCalls(ctx)
 		}
 		if now := p.Now(); reachable && now.Sub(lastCount) >= countInterval {
 			lastCount = now
+			p.identify(ctx)
 			p.readCounts(ctx)
 			p.planSwitch(now)
 		}
@@ -61,8 +63,11 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	e.Pace = p.paceFilter.Add(p.Now(), &e)
 	p.core.UpdateEngine(p.Now(), e)
 	p.updateCurrentMap(e)
+	p.identity.engine = e
+	p.recordPace(p.Now(), p.core.State(p.Now()))
 	p.logChanges()
 	return nil
 }
@@ -100,15 +105,19 @@
 	began := p.Now()
 	refused, err = p.Engine.Order(ctx, o)
 	p.metrics.orderTime.Observe(p.Now().Sub(began).Seconds())
-	outcome := "accepted"
+	p.metrics.orders.With("kind", string(o.Kind), "outcome", orderOutcome(refused, err)).Add(1)
+	return refused, err
+}
+
+// orderOutcome returns the outcome of an order for the metrics.
+func orderOutcome(refused bool, err error) string {
 	switch {
 	case err != nil:
-		outcome = "unknown"
+		return "unknown"
 	case refused:
-		outcome = "refused"
+		return "refused"
 	}
-	p.metrics.orders.With("kind", string(o.Kind), "outcome", outcome).Add(1)
-	return refused, err
+	return "accepted"
 }
 
 // readCounts reads how often each expert was chosen, and which experts the rank holds if that has changed.
--- a/internal/proof/edge/rig_test.go
+++ b/internal/proof/edge/rig_test.go
@@ -2,6 +2,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -74,8 +75,16 @@
 	address netip.AddrPort
 	targets []*target
 	entries []*entry
-	// engine describes the engines of a group in the next configuration; nil for a plain service.
-	engine map[string]any
+	// timeoutMs is the time limit of requests in the next configuration; zero for two seconds.
+	timeoutMs int
+	// edit changes the settings of an entry that is added; nil for none.
+	edit func(number int, s *site.Settings)
+	// engine describes the engines of a group in the next configuration; nil for a plain service. A cold engine sustains coldPerS
+	// requests a second for coldS; zero says that no engine is cold.
+	engine          map[string]any
+	coldS, coldPerS float64
+	// bound is that of the settings of the entries that are added.
+	bound site.ColdBound
 	// split is set while entries of odd and of even numbers do not reach each other.
 	split atomic.Bool
 }
@@ -140,7 +149,21 @@
 // newSite starts entries that know each other, with a target for each handler.
 func newSite(t *testing.T, entries int, revoke time.Duration, handlers ...http.HandlerFunc) *rig {
 	t.Helper()
-	r := &rig{t: t, store: &store{values: map[string]json.RawMessage{}, created: map[string]int64{}}}
+	return newEditedSite(t, entries, revoke, nil, handlers...)
+}
+
+// newEditedSite is newSite with a change of the entries' settings.
+func newEditedSite(t *testing.T, entries int, revoke time.Duration, edit func(number int, s *site.Settings), handlers ...http.HandlerFunc) *rig {
+	t.Helper()
+	r := &rig{edit: edit}
+	r.startSite(t, entries, revoke, handlers...)
+	return r
+}
+
+// startSite starts the site of a rig that has no field set but those of the configuration and the settings.
+func (r *rig) startSite(t *testing.T, entries int, revoke time.Duration, handlers ...http.HandlerFunc) {
+	t.Helper()
+	r.t, r.store = t, &store{values: map[string]json.RawMessage{}, created: map[string]int64{}}
 	storeServer := httptest.NewServer(r.store)
 	t.Cleanup(storeServer.Close)
 	r.address = netip.MustParseAddrPort(storeServer.Listener.Addr().String())
@@ -170,7 +193,6 @@
 			}
 		}
 	})
-	return r
 }
 
 // addEntry adds an entry that is not started. The first entry is the seed of all.
@@ -181,8 +203,11 @@
 	e := &entry{number: number, front: "http://" + front.String(), ready: "http://" + ready.String(), settings: &site.Settings{
 		Name: fmt.Sprintf("entry-%d", number), Centre: "c0", Peers: netip.AddrPortFrom(netip.AddrFrom4(host), seed.Port()),
 		Seeds: []netip.AddrPort{seed}, Metrics: loopback.FreeAddress(r.t), Callers: front, Ready: ready, History: 20 * time.Second,
-		Grace: 8 * time.Second, Revoke: revoke, Retries: site.RetryBound{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
+		Grace: 8 * time.Second, Revoke: revoke, Cold: r.bound, Retries: site.RetryBound{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 	}}
+	if r.edit != nil {
+		r.edit(number, e.settings)
+	}
 	r.entries = append(r.entries, e)
 	return e
 }
@@ -197,7 +222,7 @@
 	p := gateway.New(gateway.Options{
 		Settings: e.settings,
 		Codec: gateway.Codec{
-			DecodeCall: platform.DecodeCall, NewRequest: platform.NewRequest, DecodeAnswer: platform.DecodeAnswer, SetAttemptID: platform.SetAttemptID,
+			DecodeCall: platform.DecodeCall, DecodeKey: platform.DecodeKey, NewRequest: platform.NewRequest, DecodeAnswer: platform.DecodeAnswer, SetAttemptID: platform.SetAttemptID,
 		},
 		Store: e.cuttableStore(platform.NewStore(r.address)),
 		Log:   slog.New(slog.DiscardHandler), Random: rand.New(rand.NewPCG(1, uint64(time.Now().UnixNano()))), Now: e.now, Boot: boot,
@@ -248,6 +273,12 @@
 			}
 			return s.Targets(ctx)
 		},
+		Evacuations: func(ctx context.Context) ([]site.Evacuation, error) {
+			if e.storeCut.Load() {
+				return nil, errCut
+			}
+			return s.Evacuations(ctx)
+		},
 	}
 }
 
@@ -272,7 +303,7 @@
 func (r *rig) configure(version int, key string) {
 	route := func(name, kind string, attempts int, resumable bool) map[string]any {
 		return map[string]any{
-			"name": name, "host": "desk.example", "prefix": "/" + name + "/", "kind": kind, "timeoutMs": 2000, "goalMs": 500,
+			"name": name, "host": "desk.example", "prefix": "/" + name + "/", "kind": kind, "timeoutMs": cmp.Or(r.timeoutMs, 2000), "goalMs": 500,
 			"priority": 1, "service": "holds", "attempts": attempts, "resumable": resumable, "gapAimMs": 120,
 		}
 	}
@@ -280,7 +311,7 @@
 	warmRoute["public"] = true
 	r.store.put("op/config", map[string]any{
 		"version":  version,
-		"services": []any{map[string]any{"name": "holds", "engine": r.engine}},
+		"services": []any{map[string]any{"name": "holds", "engine": r.engine, "coldS": r.coldS, "coldPerS": r.coldPerS}},
 		"tenants":  []any{map[string]any{"name": testWorkspace, "apiKeys": []string{key}}},
 		"limits":   map[string]any{"maxBodyBytes": 1 << 20},
 		"routes": []any{
