--- a/internal/process/sidecar/sidecar_identity.go
+++ b/internal/process/sidecar/sidecar_identity.go
@@ -64,8 +64,8 @@
 	p.Log.Info("target identified", "target", id, "group", v.engine.Group, "rank", v.engine.Rank)
 }
 
-// readAddress reads the address under which the target is listed. That of the settings is on this machine and does not answer
-// while the machine is frozen, although the engine runs on.
+// readAddress reads the address under which the target is listed. That of the settings may be one of this machine only, which
+// other slots can't reach.
 func (p *Process) readAddress(ctx context.Context, id string) {
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
