Correct when slots use the listed address of an engine

Cause: a comment said that an engine can be reached while its machine is frozen.

Change: the comment names what the address is for.

Measured: nothing; no code has changed.

--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -69,8 +69,8 @@
 	// EngineAt returns the functions that call the engine at an address, on another machine. They are called only to end a switch
 	// while the slot beside that engine is silent.
 	EngineAt func(netip.AddrPort) Engine
-	// TargetAddress reads the address under which a target is listed, at which other slots reach the engine while this machine is
-	// frozen or cut off; nil if there is none but that of the settings.
+	// TargetAddress reads the address under which a target is listed, at which slots of other machines reach the engine; nil if there
+	// is none but that of the settings.
 	TargetAddress func(ctx context.Context, id string) (netip.AddrPort, error)
 	// Configuration reads the configuration, which may be stale or nil.
 	Configuration func(ctx context.Context) (*site.Configuration, error)
