Require permits of cold targets after a restart of all again

Cause: while most targets were cold, requests were spread over them without permits. The condition rested on the demand as an entry estimates it, and one that has just started, was paused or is cut off knows neither its peers nor the demand, so the bound held only while all heard each other. A paused entry also counted all targets as cold and kept the mark for a moment after it knew better.

Change: cold targets need permits again, whatever the entries know; the function and its two tests, which checked the exemption, are removed.

--- a/internal/edge/target/cold.go
+++ b/internal/edge/target/cold.go
@@ -14,10 +14,6 @@
 	sameFailureTime = 500 * time.Millisecond
 	// coldSeatTime is the time for which a cold target counts with the requests that it takes.
 	coldSeatTime = time.Second
-	// spreadShare is the part of what cold targets sustain up to which requests are spread over them without permits, and
-	// minSpreadTargets the least number of them: with few, chance alone gives one of them several times its part.
-	spreadShare      = 1.0 / 4
-	minSpreadTargets = 8
 )
 
 // The reasons why a target counts as cold.
@@ -41,8 +37,6 @@
 	failedAt, toldAt time.Time
 	// unknownAt is the time from which a restart may have been missed, or zero.
 	unknownAt time.Time
-	// spread is set while so many targets of the service are cold that requests spread over them need no permits.
-	spread bool
 	// until is the latest of these, and reason the one that made the target cold last.
 	until  time.Time
 	reason string
@@ -66,7 +60,7 @@
 
 // Limited reports whether each request to the target needs a permit: the target has named a limit, or it is cold.
 func (m *Member) Limited(now time.Time) bool {
-	return m.limit.Limited || m.IsCold(now) && !m.cold.spread
+	return m.limit.Limited || m.IsCold(now)
 }
 
 // Rate returns the requests a second that the target takes while it is Limited, and whether it is cold. The lower of its own limit
@@ -106,35 +100,6 @@
 	}
 }
 
-// SpreadCold decides whether requests to the cold targets of a service need permits, given the requests a second of all entries for
-// it. They need none while at least half of the targets are cold and each of them would get less than spreadShare of what it
-// sustains: the choice then spreads the requests evenly.
-//
-// The load that it answers: all entries and targets have restarted, so that nobody knows yet who issues permits, and the cold targets
-// together sustain many times the demand.
-func (r *Registry) SpreadCold(now time.Time, service string, demand float64) {
-	limit := r.coldServices[service]
-	if !limit.Limits() {
-		return
-	}
-	available, cold := 0, 0
-	for _, m := range r.services[service] {
-		if m.Leaving || m.evacuated {
-			continue
-		}
-		available++
-		if m.IsCold(now) {
-			cold++
-		}
-	}
-	spread := cold >= minSpreadTargets && 2*cold >= available && demand < spreadShare*limit.Rate*float64(cold)
-	for _, m := range r.services[service] {
-		if m.cold != nil {
-			m.cold.spread = spread
-		}
-	}
-}
-
 // learnCold records what a listed target says of itself. One that is new counts as cold from now on: it may have started since its
 // record was written.
 func (r *Registry) learnCold(now time.Time, t *site.Target, isNew bool) {
--- a/internal/edge/target/cold_test.go
+++ b/internal/edge/target/cold_test.go
@@ -1,8 +1,6 @@
 package target
 
 import (
-	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -183,79 +181,3 @@
 	is.Equal(r.LimitSeats(start, "holds", 60, 2), 55)
 	is.Equal(r.LimitSeats(start, "holds", 10, 2), 10)
 }
-
-// TestRestartOfAllTargetsNeedsNoPermits restarts all targets of a service, or one of them. After the restart of all, an entry that has
-// just started itself must not refuse callers for want of permits, since the targets together sustain many times the demand.
-func TestRestartOfAllTargetsNeedsNoPermits(t *testing.T) {
-	tests := []struct {
-		name    string
-		targets int
-		cold    int
-		demand  float64
-		limited bool
-	}{
-		{"all of 72", 72, 72, 150, false},
-		{"half of 72", 72, 36, 120, false},
-		{"one of 72", 72, 1, 1, true},
-		{"fewer than half", 72, 30, 10, true},
-		{"all, much demand", 72, 72, 300, true},
-		{"all of a few", 3, 3, 1, true},
-	}
-	for _, v := range tests {
-		t.Run(v.name, func(t *testing.T) {
-			is := is.New(t)
-			r := NewRegistry()
-			r.SetCold(start, map[string]site.Cold{"holds": {Time: 3 * time.Second, Rate: 15}})
-			var list []site.Target
-			for i := range v.targets {
-				x := testTarget(fmt.Sprintf("%03d", i), 1, false)
-				x.Address = address(i)
-				if i < v.cold {
-					x.ColdUntil = start.Add(3 * time.Second)
-				}
-				list = append(list, x)
-			}
-			r.Apply(start, list)
-			r.SpreadCold(start, "holds", v.demand)
-			is.Equal(r.members["000"].Limited(start), v.limited)
-			is.True(r.members["000"].IsCold(start))
-			is.True(!r.members["000"].Limited(start.Add(3 * time.Second)))
-		})
-	}
-}
-
-// TestSpreadRequestsStayWithinTheBound plays the first seconds after the restart of 72 targets and 35 entries without permits, with
-// four times the usual demand: in no second may a target get more than it sustains.
-func TestSpreadRequestsStayWithinTheBound(t *testing.T) {
-	const targets, entries, demand, bound = 72, 35, 600, 27
-	is := is.New(t)
-	random := rand.New(rand.NewPCG(3, 5))
-	var registries []*Registry
-	for range entries {
-		r := NewRegistry()
-		r.SetCold(start, map[string]site.Cold{"holds": {Time: 3 * time.Second, Rate: 15}})
-		var list []site.Target
-		for i := range targets {
-			x := testTarget(fmt.Sprintf("%03d", i), 1, false)
-			x.Address, x.ColdUntil = address(i), start.Add(3*time.Second)
-			list = append(list, x)
-		}
-		r.Apply(start, list)
-		r.SpreadCold(start, "holds", 0)
-		registries = append(registries, r)
-	}
-	most, arrivals := 0, map[string][]time.Time{}
-	for i := range demand * 3 {
-		at := start.Add(time.Duration(i) * time.Second / demand)
-		m := registries[random.IntN(entries)].Choose(at, Choice{Service: "holds", Centre: "a", Unknown: 5}, random.Float64())
-		m.Own++
-		list := append(arrivals[m.ID], at)
-		for len(list) > 0 && at.Sub(list[0]) >= time.Second {
-			list = list[1:]
-		}
-		arrivals[m.ID] = list
-		most = max(most, len(list))
-	}
-	t.Logf("%d requests in a second at most", most)
-	is.True(most <= bound)
-}
--- a/internal/process/gateway/gateway_cold.go
+++ b/internal/process/gateway/gateway_cold.go
@@ -113,9 +113,6 @@
 	if len(p.names) > 2*len(live)+1 {
 		p.forgetNames(live)
 	}
-	for service, a := range p.arrivals {
-		p.registry.SpreadCold(now, service, a.Rate(now)*float64(len(live)))
-	}
 	fraction := math.Round(100*p.roster.Standing(now, "").Fraction) / 100
 	if fraction != p.fraction {
 		known, _ := p.roster.Known()
@@ -246,7 +243,7 @@
 
 // sendBy returns the time by which a request must be sent that was given a permit for a target now, or zero if the target is not cold.
 func sendBy(now time.Time, m *target.Member) time.Time {
-	if !m.IsCold(now) || !m.Limited(now) {
+	if !m.IsCold(now) {
 		return time.Time{}
 	}
 	return now.Add(limit.ColdSendTime)
