Give the test of slow readers as many slots as it has requests

Cause: TestSlowReadersLeaveRoom opens 2,200 requests to one target of six slots. Since the queue of a plain service goes by its slots, nearly all of them were refused, so the memory that the test waits for was never held. It failed each time, also on an idle machine; it was listed as a failure beside load.

Change: the target states 4,096 slots; the checks are unchanged.

--- a/internal/proof/edge/memory_test.go
+++ b/internal/proof/edge/memory_test.go
@@ -87,7 +87,9 @@
 func newSmall(t *testing.T) *rig {
 	t.Helper()
 	large := strings.Repeat("x", 1<<20-1)
-	r := newEditedSite(t, 1, time.Minute, func(_ int, s *site.Settings) { s.Memory = smallMemory }, withWarmRoute(func(w http.ResponseWriter, q *http.Request) {
+	// The target runs all requests at once, so that memory is what is short.
+	r := &rig{edit: func(_ int, s *site.Settings) { s.Memory = smallMemory }, slots: 1 << 12}
+	r.startSite(t, 1, time.Minute, withWarmRoute(func(w http.ResponseWriter, q *http.Request) {
 		switch q.URL.Path {
 		case "/stream/":
 			w.Header().Set("Content-Type", "text/event-stream")
--- a/internal/proof/edge/rig_test.go
+++ b/internal/proof/edge/rig_test.go
@@ -77,6 +77,8 @@
 	entries []*entry
 	// timeoutMs is the time limit of requests in the next configuration; zero for two seconds.
 	timeoutMs int
+	// slots is the number of requests that each target runs at once; zero for six.
+	slots int
 	// edit changes the settings of an entry that is added; nil for none.
 	edit func(number int, s *site.Settings)
 	// engine describes the engines of a group in the next configuration; nil for a plain service. A cold engine sustains coldPerS
@@ -295,7 +297,7 @@
 // registerTarget publishes a target in the store; a higher number means a more distant data centre.
 func (r *rig) registerTarget(x *target, number int, state string) {
 	r.store.put("servers/"+x.id, map[string]any{
-		"service": "holds", "addr": x.Listener.Addr().String(), "zone": fmt.Sprintf("c%d", number), "slots": 6, "state": state, "born": x.born,
+		"service": "holds", "addr": x.Listener.Addr().String(), "zone": fmt.Sprintf("c%d", number), "slots": cmp.Or(r.slots, 6), "state": state, "born": x.born,
 	})
 }
 
