Name the number of deputies and the threshold of very slow engines once

Cause: the number of deputies stood in two packages, and the pace from which an engine is very slow was compared with the constant for relative slowness.

Change: the constants of package hold are used.

Measured: tests of the three packages pass.

--- a/internal/group/hold/acting.go
+++ b/internal/group/hold/acting.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// deputies is the number of ranks after the leader's whose slots may act as leader.
-	deputies = 2
+	// Deputies is the number of ranks after the leader's whose slots may act as leader.
+	Deputies = 2
 	// silenceLimit is the time without a datagram after which a slot is silent. During a switch slots repeat their states to the
 	// leader every 109 ms at most in a group of 129 ranks, and those in whose place a deputy acts to it every 80 ms.
 	silenceLimit = 250 * time.Millisecond
@@ -69,7 +69,7 @@
 // considerActing makes a deputy act as leader, only to end an attempt, while the slots of all lower ranks are silent.
 func (c *Core) considerActing(now time.Time) {
 	rank := c.engine.Rank
-	if rank == 0 || rank > deputies || !c.engine.Open || now.Before(c.notActingBefore) || !c.unended(now) {
+	if rank == 0 || rank > Deputies || !c.engine.Open || now.Before(c.notActingBefore) || !c.unended(now) {
 		return
 	}
 	for lower := range rank {
--- a/internal/group/load/pace.go
+++ b/internal/group/load/pace.go
@@ -42,7 +42,7 @@
 // SetPace records the pace that the engine of a rank reported in an epoch.
 func (p *Planner) SetPace(now time.Time, rank int, epoch uint64, pace float64) {
 	v := reportedPace{epoch: epoch, pace: hold.BoundPace(pace), at: now, slowAt: p.paces.reported[rank].slowAt}
-	if v.pace >= balance.VerySlow {
+	if v.pace >= hold.VerySlowPace {
 		v.slowAt = now
 	}
 	p.paces.reported[rank] = v
--- a/internal/process/sidecar/sidecar_deputy.go
+++ b/internal/process/sidecar/sidecar_deputy.go
@@ -10,8 +10,6 @@
 )
 
 const (
-	// deputies is the number of ranks after the leader's whose slots get the states of all ranks, to act as leader.
-	deputies = 2
 	// deputyInterval is the time between two datagrams of a slot to a deputy during a switch, and leadingInterval that of the
 	// slots in whose place a deputy acts, which are silent after 250 ms.
 	deputyInterval, leadingInterval = 400 * time.Millisecond, 80 * time.Millisecond
@@ -24,7 +22,7 @@
 
 // leaders returns the addresses of the slots of rank 0 and of the deputies, invalid ones for those that are not known or the
 // own; mu is held.
-func (p *Process) leaders(now time.Time) (known [1 + deputies]netip.AddrPort) {
+func (p *Process) leaders(now time.Time) (known [1 + hold.Deputies]netip.AddrPort) {
 	own := p.core.State(now)
 	for _, v := range p.mesh.Peers(true) {
 		s, ok := p.rankStates[v.Address]
@@ -95,7 +93,7 @@
 	switch {
 	case !p.core.Busy():
 		return idleDeputyInterval
-	case s.Rank <= deputies:
+	case s.Rank <= hold.Deputies:
 		return leadingInterval
 	}
 	return deputyInterval
@@ -105,7 +103,7 @@
 // which it is the leader; mu is held.
 func (p *Process) announceDeputy(now time.Time) {
 	s := p.core.State(now)
-	if s.Rank < 1 || s.Rank > deputies {
+	if s.Rank < 1 || s.Rank > hold.Deputies {
 		return
 	}
 	if p.core.Published() != nil {
