Let an entry that reads the store stand in for relays that can't

Cause: where the store turns both relays of a data centre away, the entries that it serves read it for themselves alone, and the others never learn of it.

Change: while all relays that are heard can't read the store, the first entry that can is a relay too, until one of them can again. At most one volunteers at 149 entries (TestEntryVolunteersForBlindRelays).

--- a/internal/edge/mesh/mesh.go
+++ b/internal/edge/mesh/mesh.go
@@ -51,6 +51,10 @@
 	knownDigest uint64
 	// relaySince is the time since which this process has been a relay without interruption; zero if it is none.
 	relaySince time.Time
+	// reads is set while this process reads the store itself, and blindSince is since when no relay of the data centre that was heard can,
+	// or zero.
+	reads      bool
+	blindSince time.Time
 	// searched is the number of candidates of other data centres that were tried in turn.
 	searched int
 }
--- a/internal/edge/mesh/relay.go
+++ b/internal/edge/mesh/relay.go
@@ -18,6 +18,9 @@
 	rechosenAfter = time.Second
 	// settleTime is the time after which a new relay has heard of all processes of its data centre.
 	settleTime = 600 * time.Millisecond
+	// volunteerDelay is the time for each entry before it in the order of relays after which an entry becomes a further relay because the
+	// relays can't read the store. By then those before it would have been heard.
+	volunteerDelay = 200 * time.Millisecond
 )
 
 // relayState is what is known of a process as a relay.
@@ -122,7 +125,7 @@
 func (m *Mesh) UpdateRole(now time.Time) (changed bool) {
 	was := m.IsRelay()
 	switch {
-	case m.own.Slot || !slices.Contains(m.Relays(now), m.own.Address):
+	case m.own.Slot || !slices.Contains(m.Relays(now), m.own.Address) && !m.volunteers(now):
 		m.relaySince = time.Time{}
 	case !was:
 		m.relaySince = now
@@ -130,6 +133,56 @@
 	return was != m.IsRelay()
 }
 
+// SetReads records whether this process reads the store itself.
+func (m *Mesh) SetReads(reads bool) {
+	m.reads = reads
+}
+
+// volunteers reports whether this process is a further relay, because it reads the store and all relays of its data centre that are heard
+// can't. If several could, it is the one that comes first in the order of relays.
+//
+// The load that it answers: a store that turns some machines away, the relays of a data centre among them, while it serves others.
+func (m *Mesh) volunteers(now time.Time) bool {
+	heard := false
+	for _, p := range m.peers {
+		if p.Centre != m.own.Centre || p.Slot || !p.relaying(now, m.silence) {
+			continue
+		}
+		heard = true
+		if !p.blind && (m.blindSince.IsZero() || !m.IsRelay() || p.rank() > m.own.rank()) {
+			m.blindSince = time.Time{}
+			return false
+		}
+	}
+	if !heard || !m.reads {
+		m.blindSince = time.Time{}
+		return false
+	}
+	if m.blindSince.IsZero() {
+		m.blindSince = now
+	}
+	before := max(slices.Index(m.candidates(m.own.Centre), m.own.Address)-relays, 0)
+	return m.IsRelay() || now.Sub(m.blindSince) >= time.Duration(before)*volunteerDelay
+}
+
+// volunteer returns the address of another entry of the data centre that is a further relay since it can read the store; it is invalid if
+// there is none.
+func (m *Mesh) volunteer(now time.Time, chosen []netip.AddrPort) (address netip.AddrPort) {
+	var best *Peer
+	for _, p := range m.peers {
+		if p.Centre != m.own.Centre || p.Slot || p.blind || !p.relaying(now, m.silence) || slices.Contains(chosen, p.Address) {
+			continue
+		}
+		if best == nil || p.rank() > best.rank() {
+			best = p
+		}
+	}
+	if best == nil {
+		return address
+	}
+	return best.Address
+}
+
 // Unsettle records that this process has missed datagrams, as in a pause, so that as a relay it must hear of all processes anew.
 func (m *Mesh) Unsettle(now time.Time) {
 	if m.IsRelay() {
@@ -148,7 +201,7 @@
 }
 
 // Relays returns the addresses of the relays of this process's data centre, on which its processes agree: the first entries by
-// rendezvous hashing that are not silent.
+// rendezvous hashing that are not silent, and one that volunteers because those can't read the store.
 func (m *Mesh) Relays(now time.Time) (out []netip.AddrPort) {
 	candidates := m.candidates(m.own.Centre)
 	for _, address := range candidates {
@@ -166,6 +219,9 @@
 		}
 		out = append(out, candidates[:min(relays, len(candidates))]...)
 	}
+	if v := m.volunteer(now, out); v.IsValid() {
+		out = append(out, v)
+	}
 	return out
 }
 
--- a/internal/edge/mesh/world_test.go
+++ b/internal/edge/mesh/world_test.go
@@ -88,6 +88,7 @@
 				continue
 			}
 			p.Expire(w.now)
+			p.SetReads(!p.blind)
 			p.UpdateRole(w.now)
 			if (int(w.now.Sub(start)/tick)+i)%int(reportTime/tick) == 0 {
 				w.report(p)
@@ -252,6 +253,50 @@
 	}
 }
 
+// TestEntryVolunteersForBlindRelays has all relays of each data centre report that they can't read the store, and a part of the other
+// entries too. Exactly one that can read it takes their place, and gives it back when they can again. If none can, none does.
+func TestEntryVolunteersForBlindRelays(t *testing.T) {
+	for _, v := range []struct {
+		name    string
+		entries int
+		// blind is the part of the other entries that can't read the store either.
+		blind float64
+		// readers is the number of readers of a data centre meanwhile: while none can read the store, one relay tries.
+		readers, relays int
+	}{
+		{"three entries a data centre", 15, 0, 1, 3},
+		{"seven entries a data centre", 35, 0, 1, 3},
+		{"half of the others too", 149, 0.5, 1, 3},
+		{"all", 35, 1, 1, 2},
+		{"almost all of the others too", 149, 0.9, 1, 3},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			w := newWorld(v.entries)
+			w.play(3 * time.Second)
+			for i, p := range w.processes {
+				p.blind = p.IsRelay() || float64(i/5%10) < 10*v.blind
+			}
+			w.play(5 * time.Second)
+			for centre, count := range w.readers() {
+				is.Equal(count, v.readers)
+				is.Equal(w.relays()[centre], v.relays)
+			}
+			is.Equal(len(w.readers()), 5)
+			for _, p := range w.processes {
+				is.True(!p.blind || v.blind == 1 || !p.IsReader(w.now, p.blind)) // who can't read leaves it to who can
+				p.blind = false
+			}
+			w.play(5 * time.Second)
+			for centre, count := range w.relays() {
+				is.Equal(count, relays)
+				is.Equal(w.readers()[centre], 1)
+			}
+		})
+	}
+}
+
 // TestDatagramsOfAnEntryDoNotGrow counts the datagrams of an entry that is no relay, and of a relay.
 func TestDatagramsOfAnEntryDoNotGrow(t *testing.T) {
 	for _, n := range sizes {
--- a/internal/process/gateway/gateway_follow.go
+++ b/internal/process/gateway/gateway_follow.go
@@ -99,6 +99,12 @@
 	return p.mesh.IsReader(p.Now(), p.blind) || !ok || at < 0 || now-at > maxRelayedAge
 }
 
+// readsStore reports whether this entry has read the store itself of late; mu is held.
+func (p *Process) readsStore() bool {
+	now, ok := p.Boot.Now()
+	return ok && !p.blind && p.readAt >= 0 && now-p.readAt <= maxRelayedAge
+}
+
 // behind reports whether a relay has a later configuration.
 func (p *Process) behind() bool {
 	p.mu.Lock()
--- a/internal/process/gateway/gateway_peers.go
+++ b/internal/process/gateway/gateway_peers.go
@@ -74,6 +74,7 @@
 		for _, lost := range p.mesh.Expire(now) {
 			p.Log.Info("peer lost", "peer", lost.Name, "address", lost.Address, "age", now.Sub(lost.LastSeen))
 		}
+		p.mesh.SetReads(p.readsStore())
 		if p.mesh.UpdateRole(now) {
 			p.Log.Info("relay", "active", p.mesh.IsRelay())
 			p.wakeStore()
