Read the configuration from the relay that has told of it

Change: an entry gets the content from the relay that has told of a later version, by the call of the product's entries, compressed, with its digest; it reads the store only if that fails. How recent a configuration counts as does not change, so a withdrawn key ends as early as before.

TestEntriesCutOffFromTheStoreLearnTheConfiguration failed before in 2 of 4 cases ('condition not met within 10 s').

--- a/internal/fleet/site/configuration.go
+++ b/internal/fleet/site/configuration.go
@@ -19,6 +19,8 @@
 	Workspaces map[string]Workspace
 	// RequiresKeys is set if requests on routes that are not public need an API key.
 	RequiresKeys bool
+	// Source is the configuration as it was published.
+	Source []byte
 	// Body is the largest request body in bytes.
 	Body int64
 
--- a/internal/operator/commands/platform.go
+++ b/internal/operator/commands/platform.go
@@ -114,7 +114,7 @@
 			DecodeCall: platform.DecodeCall, DecodeKey: platform.DecodeKey, NewRequest: platform.NewRequest, DecodeAnswer: platform.DecodeAnswer, SetAttemptID: platform.SetAttemptID,
 		},
 		Store: gateway.Store{
-			Configuration: store.Configuration, StaleConfiguration: store.StaleConfiguration, Changes: store.Changes, Targets: store.Targets, Evacuations: store.Evacuations, Close: store.Close,
+			Configuration: store.Configuration, StaleConfiguration: store.StaleConfiguration, Changes: store.Changes, Targets: store.Targets, Evacuations: store.Evacuations, Decode: platform.DecodeConfiguration, Close: store.Close,
 		},
 		Log: file.log, Random: newRandom(), Now: time.Now, Boot: boot,
 	})
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -21,11 +21,13 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/call"
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/seat"
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/target"
+	"github.com/dragonflydeal/dragonflydeal/internal/fleet/revision"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/site"
 	"github.com/dragonflydeal/dragonflydeal/internal/operator/metrics"
 	"github.com/dragonflydeal/dragonflydeal/internal/process/node"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/suspect"
 	"github.com/dragonflydeal/dragonflydeal/internal/wire/datagram"
+	"github.com/dragonflydeal/dragonflydeal/internal/wire/link"
 )
 
 const (
@@ -68,6 +70,8 @@
 	Targets func(ctx context.Context) ([]site.TargetRecord, int64, error)
 	// Evacuations lists the keys of the evacuated data centres. It is called only if the settings have a time for evacuations.
 	Evacuations func(ctx context.Context) ([]site.Evacuation, error)
+	// Decode decodes a configuration from its Source.
+	Decode func(source []byte) (*site.Configuration, error)
 	// Close closes idle connections.
 	Close func()
 }
@@ -104,6 +108,9 @@
 	// confirmedAt is the time on the Boot clock at which the configuration was last known to be the latest; negative if
 	// never.
 	confirmedAt atomic.Int64
+	// encoded is the form in which the latest configuration was sent to another entry; nil if none was.
+	encoded atomic.Pointer[revision.Patch]
+	links   *link.Pool
 	// stopping is set at the signal to stop, rejecting once new requests are refused.
 	stopping, rejecting atomic.Bool
 	// incarnation identifies this run of the process in datagrams.
@@ -122,6 +129,7 @@
 	// latest version of the configuration of which a relay has told.
 	targetsAt     time.Duration
 	wantedVersion int64
+	source        configurationSource
 	// blind is set from a failed read of the store until one succeeds.
 	blind      bool
 	budgets    map[string]*budget.Budget
@@ -146,7 +154,7 @@
 		Options: o, metricSet: set, metrics: newProcessMetrics(set), transport: newTransport(o.Now), memory: newBuffers(o.Settings.Memory), started: o.Now(), incarnation: o.Random.Uint64(),
 		registry: target.NewRegistry(), peers: newPeers(&o), targetsAt: -1, storeNews: make(chan struct{}, 1),
 		budgets: map[string]*budget.Budget{}, estimators: map[string]*seat.Estimator{}, queues: map[string]*seat.Queue{}, arrivals: map[string]*target.Arrivals{}, reservedSeats: map[string]int{},
-		suspects: suspect.NewTracker(), exclusive: map[uint64]bool{}, limits: newLimits(&o), groups: newGroups(),
+		suspects: suspect.NewTracker(), exclusive: map[uint64]bool{}, limits: newLimits(&o), groups: newGroups(), links: newLinks(&o),
 	}
 	p.confirmedAt.Store(-1)
 	now, _ := o.Boot.Now()
@@ -170,6 +178,9 @@
 	}
 	p.socket.Reachable = p.Reachable
 	group, work := errgroup.WithContext(work)
+	if err := p.serveConfiguration(work, group); err != nil {
+		return err
+	}
 	callers := &http.Server{Handler: http.HandlerFunc(p.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerSize}
 	if p.settings.Load().Memory > 0 {
 		callers.ConnContext = boundConnection
--- a/internal/process/gateway/gateway_follow.go
+++ b/internal/process/gateway/gateway_follow.go
@@ -77,6 +77,7 @@
 	s := newStoreState()
 	for ctx.Err() == nil {
 		switch {
+		case p.readFromPeer(ctx):
 		case p.mustRead():
 			p.readStore(ctx, s)
 		case p.behind():
--- a/internal/process/gateway/gateway_member.go
+++ b/internal/process/gateway/gateway_member.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/mesh"
@@ -74,14 +75,14 @@
 		p.registry.SetOtherLoads(loads)
 	}
 	if n.Answer.Read {
-		p.learnStore(now, n, report)
+		p.learnStore(now, peer.Address, n, report)
 	}
 }
 
 // learnStore records what a relay has read from the store. It knew the latest state at the time at which the relay received the
 // report, plus what the answer adds. The report was sent before, so the sum of its sending time and that is never too late,
 // however long the datagrams took; mu is held.
-func (p *Process) learnStore(now time.Time, n *message.News, report *sentReport) {
+func (p *Process) learnStore(now time.Time, from netip.AddrPort, n *message.News, report *sentReport) {
 	m := p.mirrors[n.Incarnation]
 	if m == nil {
 		m = &mirror{}
@@ -92,6 +93,9 @@
 		m.Apply(n.Answer.DecodePage(now))
 		p.mirrorsChanged = true
 	}
+	if n.Relay.Version > p.wantedVersion || n.Relay.Version == p.wantedVersion && !p.source.failedAt.IsZero() && p.source.address != from {
+		p.source = configurationSource{address: from}
+	}
 	p.wantedVersion = max(p.wantedVersion, n.Relay.Version)
 	boot, ok := p.Boot.Now()
 	if !ok || !report.timed || m.Sequence != n.Relay.Inventory {
--- a/internal/proof/edge/relay_test.go
+++ b/internal/proof/edge/relay_test.go
@@ -84,6 +84,34 @@
 	}
 }
 
+// TestEntriesCutOffFromTheStoreLearnTheConfiguration publishes a configuration with a new key while each entry in turn, the one that reads
+// the store for the others among them, can't reach the store. It learns the configuration from another entry, so that callers with the new
+// key are served and the withdrawn key ends in time.
+func TestEntriesCutOffFromTheStoreLearnTheConfiguration(t *testing.T) {
+	const entries, revoke = 4, 5 * time.Second
+	for i := range entries {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			r := newSite(t, entries, revoke, serveDone)
+			time.Sleep(time.Second)
+			r.entries[i].storeCut.Store(true)
+			r.configure(2, "k-2")
+			changed := time.Now()
+			r.await(func() bool {
+				return r.callAt(r.entries[i], "POST", "/once/", withKey("k-2")).status == http.StatusOK
+			})
+			is.True(time.Since(changed) < revoke)
+			time.Sleep(time.Until(changed.Add(revoke)))
+			for range 20 {
+				is.Equal(r.callAt(r.entries[i], "POST", "/once/", withKey("k-2")).status, http.StatusOK)
+				is.True(r.callAt(r.entries[i], "POST", "/once/", nil).status != http.StatusOK)
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+	}
+}
+
 // TestThawedMemberRefusesWithdrawnKeys freezes each entry in turn while a key is withdrawn. Datagrams that a relay sent before
 // are received after the freeze and must not make the old configuration look recent.
 func TestThawedMemberRefusesWithdrawnKeys(t *testing.T) {
--- a/internal/proof/edge/rig_test.go
+++ b/internal/proof/edge/rig_test.go
@@ -250,7 +250,7 @@
 func (e *entry) cuttableStore(s *platform.Store) gateway.Store {
 	errCut := errors.New("cut off from the store")
 	return gateway.Store{
-		Close: s.Close,
+		Close: s.Close, Decode: platform.DecodeConfiguration,
 		Configuration: func(ctx context.Context) (*site.Configuration, error) {
 			if e.storeCut.Load() {
 				return nil, errCut
