Tell callers when to return while all groups are down, and let returned ones wait

Cause: a group that loses a rank refuses for as long as the rank is gone and 0.6 s more. Entries passed each refusal on with a Retry-After of 4 s, also while another group was up, and callers, who return once, met the same outage twice.

Change: slots report the state of their group with its incarnation, relays pass it on; a group that is down is used like a stalled one; a request that it refused is retried at another; while all are down or out of reach, see docs/PLATFORM.md, 'Groups that are down'.

TestCallersOutliveGroupsThatFormAnew and TestRefusalForAGroupIsRetriedAtAnother failed before with '503 != 200'.

--- a/internal/edge/target/reach.go
+++ b/internal/edge/target/reach.go
@@ -19,6 +19,8 @@
 	// avoidedUntil is the time until which its targets are chosen only if there are no others. It is zero while the data centre is
 	// reachable; after that time one request tries a connection, and the others wait for its result.
 	avoidedUntil time.Time
+	// unreachableSince is when the data centre last became unreachable.
+	unreachableSince time.Time
 }
 
 // MarkUnreachable records that a connection to a target failed, and reports whether its data centre counts as unreachable from
@@ -43,6 +45,9 @@
 		return false
 	}
 	changed = c.avoidedUntil.IsZero()
+	if changed {
+		c.unreachableSince = now
+	}
 	c.avoidedUntil = now.Add(blockDuration)
 	return changed
 }
@@ -65,6 +70,15 @@
 	}
 }
 
+// Unreachable reports whether the data centre of a target is unreachable and no connection is to be tried now, and since when.
+func (r *Registry) Unreachable(now time.Time, m *Member) (since time.Time, ok bool) {
+	c := r.reach[m.Centre]
+	if c == nil || !now.Before(c.avoidedUntil) {
+		return time.Time{}, false
+	}
+	return c.unreachableSince, true
+}
+
 // avoided reports whether a target is chosen only if there are no others, since it or its data centre could not be reached.
 func (r *Registry) avoided(now time.Time, m *Member) bool {
 	if now.Before(m.blockedUntil) {
--- a/internal/process/gateway/gateway_attempt.go
+++ b/internal/process/gateway/gateway_attempt.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -29,9 +30,6 @@
 	// plainRetryAfter is the Retry-After of a refused plain request. By then another target serves, or one has capacity
 	// again.
 	plainRetryAfter = 300 * time.Millisecond
-	// groupRetryAfter is the Retry-After when a group of engines refuses: after the loss of a rank, a new incarnation of
-	// the group takes seconds to start.
-	groupRetryAfter = 4 * time.Second
 )
 
 // errAttemptTimeout cancels an attempt whose target takes much longer than usual.
@@ -79,13 +77,14 @@
 	body   []byte
 }
 
-// serveAttempts sends the request to targets until one serves it or no further attempt is allowed.
-func (v *request) serveAttempts() {
+// serveAttempts sends the request to targets until one serves it or no further attempt is allowed. It returns true if the request has not
+// run and is to wait until a group of its service is up.
+func (v *request) serveAttempts() (again bool) {
 	s := &stream{request: v}
 	var failure *bufferedAnswer
 	result, reason := outcomeNotRun, "no target"
-	for v.attempts < maxAttempts {
-		if v.attempts > 0 && !v.mayRetry(result) {
+	for first := true; v.attempts < maxAttempts; first = false {
+		if !first && !v.mayRetry(result) {
 			break
 		}
 		v.process.awaitCatchUp(v.caller.Context())
@@ -105,15 +104,32 @@
 		if result != outcomeNotRun {
 			v.runs++
 		}
+		if v.faultyGroup || v.unreached {
+			v.groupsDown = v.noteGroupRefusal(m)
+			if v.groupsDown && v.runs == 0 && v.attempts < maxAttempts && v.mayAwait() {
+				return true
+			}
+		}
 		switch result {
 		case outcomeServed:
 			v.finish(result.String(), reason)
-			return
+			return false
 		case outcomeCallerLeft:
 			v.abandon(result.String(), reason)
 		}
 	}
 	v.fail(failure, reason)
+	return false
+}
+
+// mayAwait reports whether the request, which a group has refused, may be sent again once a group is up. If so, it takes the retry from
+// the budget and forgets which targets were tried.
+func (v *request) mayAwait() bool {
+	if v.remaining() <= 0 || v.caller.Context().Err() != nil || !v.unreached && !v.takeRetry() {
+		return false
+	}
+	clear(v.tried)
+	return true
 }
 
 // mayRetry reports whether the request may be sent again after an attempt. If so, it takes the retry from the budget.
@@ -124,7 +140,7 @@
 	if last != outcomeNotRun && (!v.route.Idempotent || v.runs >= v.route.Attempts) {
 		return false
 	}
-	if last == outcomeNotRun && v.service.Grouped() && v.groupRefused {
+	if last == outcomeNotRun && v.groupRefused && (v.groupsDown || !v.faultyGroup) {
 		return false
 	}
 	if last == outcomeTruncated && !v.route.Resumable {
@@ -162,10 +178,7 @@
 
 // retryAfter returns the Retry-After of a refusal by the targets.
 func (v *request) retryAfter() time.Duration {
-	if v.groupRefused {
-		return groupRetryAfter
-	}
-	return plainRetryAfter
+	return cmp.Or(v.outageRetryAfter(), plainRetryAfter)
 }
 
 // attempt sends the request to one target and passes its answer to the caller.
@@ -173,6 +186,7 @@
 	p := v.process
 	began := p.Now()
 	v.fate, v.events, v.heardAt, v.succeeded = suspect.FateNone, 0, began, false
+	v.faultyGroup, v.groupsDown = false, false
 	v.statement, v.groupRefused, v.unreached, v.unsent, v.connected = call.Statement{}, v.service.Grouped(), false, false, false
 	defer func() {
 		running := v.releaseTarget(m, result)
@@ -253,9 +267,12 @@
 		v.process.mu.Lock()
 		m.Block(v.process.Now())
 		v.process.mu.Unlock()
+		// A rank that has restarted has taken its group down.
+		v.faultyGroup = v.service.Grouped()
 		return outcomeNotRun, nil, "another incarnation serves at the address"
 	case a.NotRun:
-		v.groupRefused = v.service.Grouped() && a.FaultTarget != ""
+		v.faultyGroup = v.service.Grouped() && a.FaultTarget != ""
+		v.groupRefused = v.faultyGroup
 		return outcomeNotRun, nil, "target refused: status " + strconv.Itoa(a.Status) + " fault " + a.FaultTarget
 	case !a.Deliverable():
 		return outcomeUnknown, nil, "answer is not the target's own: status " + strconv.Itoa(a.Status)
--- a/internal/process/gateway/gateway_group.go
+++ b/internal/process/gateway/gateway_group.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"time"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/group"
@@ -20,6 +21,17 @@
 // guarded by its mu.
 type groups struct {
 	stalls group.Stalls
+	// states holds which groups are down, and statesChanged is closed and replaced when one of them changes.
+	states        group.States
+	statesChanged chan struct{}
+	// refusals holds when a target whose group was not known last refused a request for its group, by service.
+	refusals map[string]time.Time
+	// outages holds by service what the latest check of its groups has found.
+	outages map[string]knownOutage
+	// awaiting is the number of requests that wait for the groups of a service.
+	awaiting map[string]int
+	// unusable holds the groups that are stalled or down, or is nil if none is down.
+	unusable map[uint32]bool
 	// table is what this entry knows as a relay; it is empty if the entry is none.
 	table *group.Table
 	// appliedVersion is the version of the table that the registry and the feed have.
@@ -30,7 +42,7 @@
 }
 
 func newGroups() groups {
-	return groups{table: group.NewTable()}
+	return groups{table: group.NewTable(), statesChanged: make(chan struct{}), refusals: map[string]time.Time{}, awaiting: map[string]int{}, outages: map[string]knownOutage{}}
 }
 
 // learnMember records what a slot of this data centre reports of its target; mu is held.
@@ -121,7 +133,7 @@
 // records its end.
 func (v *request) beginStream(m *target.Member) (end func()) {
 	p := v.process
-	v.group = 0
+	v.groupHash = 0
 	if !v.route.Stream || !v.service.Grouped() {
 		return func() {}
 	}
@@ -131,28 +143,47 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	v.group = m.Group
-	p.stalls.Begin(p.Now(), v.group, v.route.Gap, goal)
+	v.groupHash = m.Group
+	p.stalls.Begin(p.Now(), v.groupHash, v.route.Gap, goal)
 	return func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		p.stalls.End(v.group, v.events > 0)
+		p.stalls.End(v.groupHash, v.events > 0)
 	}
 }
 
 // noteGroupEvent records an event of the latest attempt for the search for stalled groups.
 func (v *request) noteGroupEvent() {
-	if v.group == 0 {
+	if v.groupHash == 0 {
 		return
 	}
 	p := v.process
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.stalls.Event(p.Now(), v.group, v.events == 1)
+	p.stalls.Event(p.Now(), v.groupHash, v.events == 1)
+}
+
+// unusableGroups returns the groups that are stalled or down. The map must not be changed; mu is held.
+func (p *Process) unusableGroups() map[uint32]bool {
+	if p.unusable != nil {
+		return p.unusable
+	}
+	return p.stalls.Stalled()
+}
+
+// updateUnusable decides which groups are stalled or down; mu is held.
+func (p *Process) updateUnusable(now time.Time) {
+	set := map[uint32]bool{}
+	p.unusable = nil
+	if p.states.AddDown(now, set) {
+		maps.Copy(set, p.stalls.Stalled())
+		p.unusable = set
+	}
 }
 
 // updateStalls decides which groups are stalled; mu is held.
 func (p *Process) updateStalls(now time.Time) {
+	defer p.updateUnusable(now)
 	for _, c := range p.stalls.Update(now) {
 		event := "ended"
 		if c.Stalled {
--- a/internal/process/gateway/gateway_metrics.go
+++ b/internal/process/gateway/gateway_metrics.go
@@ -26,6 +26,8 @@
 	rests *metrics.Counter
 	// paces counts how often a target became slow, and of usual pace again, and stalls how often a group stalled and ran again.
 	paces, stalls *metrics.Counter
+	// outages counts how often a group was down and up again, and the requests that were refused while all groups were down.
+	outages *metrics.Counter
 	// evacuations counts evacuated and returned data centres, and the requests that were refused because of evacuations.
 	evacuations *metrics.Counter
 	// seats counts the decisions on seats, and seatWait is the time that requests waited for one.
@@ -43,7 +45,7 @@
 	return &processMetrics{
 		requests: s.Counter("requests"), attempts: s.Counter("attempts"), storeCalls: s.Counter("reads"),
 		invalidRecords: s.Counter("unreadable"), datagrams: s.Counter("datagrams"), lostRuns: s.Counter("runs"), permits: s.Counter("permits"), rests: s.Counter("rests"), colds: s.Counter("cold"),
-		paces: s.Counter("paces"), stalls: s.Counter("stalls"),
+		paces: s.Counter("paces"), stalls: s.Counter("stalls"), outages: s.Counter("outages"),
 		evacuations: s.Counter("evacuations"), memory: s.Counter("memory"),
 		seats: s.Counter("seats"), seatWait: s.Histogram("wait"),
 		timeToHeaders: s.Histogram("first"), duration: s.Histogram("whole"), eventGap: s.Histogram("pause"),
--- a/internal/process/gateway/gateway_peers.go
+++ b/internal/process/gateway/gateway_peers.go
@@ -188,6 +188,7 @@
 	}
 	if n.Relay != nil {
 		p.learnKnown(now, n.Relay)
+		p.learnStates(now, n.Relay.Groups)
 		p.receiveRelay(now, peer, n)
 	}
 	p.answerAsks(now, from, n.Asks)
--- a/internal/process/gateway/gateway_relay.go
+++ b/internal/process/gateway/gateway_relay.go
@@ -103,6 +103,9 @@
 		return
 	}
 	p.learnMember(now, n)
+	if n.Report.Group != nil {
+		p.learnStates(now, []*message.GroupState{n.Report.Group})
+	}
 	view := p.mesh.View(now)
 	digest := view.Digest()
 	reply := p.newDatagram()
@@ -181,6 +184,7 @@
 	digest := centre.Digest()
 	n.Relay = &message.Relay{Settled: p.mesh.Settled(now), View: digest, Loads: message.EncodeLoads(p.centreLoads())}
 	n.Relay.Members, n.Relay.Whole = p.nextMembers(now)
+	n.Relay.Groups = p.encodeStates(now)
 	p.tellKnown(now, n.Relay)
 	to := p.mesh.OtherRelays(now)
 	if digest != p.sentView || now.Sub(p.viewSentAt) >= centreViewInterval {
@@ -203,7 +207,7 @@
 	digest := view.Digest()
 	n.Relay = &message.Relay{
 		Settled: p.mesh.Settled(now), View: digest, Loads: message.EncodeLoads(loads), Version: p.sentVersion, Inventory: p.feed.Sequence(), Blind: p.blind,
-		Evacuated: p.evacuated,
+		Evacuated: p.evacuated, Groups: p.encodeStates(now),
 	}
 	p.tellKnown(now, n.Relay)
 	if ended := p.registry.OutageEndedAt(); !ended.IsZero() {
--- a/internal/process/gateway/gateway_run.go
+++ b/internal/process/gateway/gateway_run.go
@@ -41,12 +41,17 @@
 		return
 	}
 	defer v.endExclusive()
-	if v.acquireSeat() {
-		defer v.releaseSeat()
-		v.serveAttempts()
+	for v.awaitGroups() && v.acquireSeat() && v.serveSeated() {
+		// All groups went down before the request ran.
 	}
 }
 
+// serveSeated serves the request with its seat, and reports whether it is to wait for the groups of its service and for another seat.
+func (v *request) serveSeated() (again bool) {
+	defer v.releaseSeat()
+	return v.serveAttempts()
+}
+
 // pickService chooses one of the route's services at random, by weight.
 func (v *request) pickService() string {
 	services := v.route.Services
@@ -102,7 +107,8 @@
 // the request is rejected because it may end its target or because the targets take no more.
 func (v *request) chooseTarget() *target.Member {
 	p := v.process
-	if v.attempts == 0 && v.waiter != nil {
+	if v.reserved {
+		v.reserved = false
 		p.mu.Lock()
 		p.reservedSeats[v.service.Name]--
 		p.mu.Unlock()
@@ -133,7 +139,7 @@
 	if v.rejection = v.checkSuspect(now, verdict, by); v.rejection.status != 0 {
 		return nil, false
 	}
-	choice := target.Choice{Service: v.service.Name, Centre: p.settings.Load().Centre, Tried: v.tried, Priority: v.priority, MayAsk: mayAsk, Unknown: p.unknownRequests(now, v.service.Name), Stalled: p.stalls.Stalled()}
+	choice := target.Choice{Service: v.service.Name, Centre: p.settings.Load().Centre, Tried: v.tried, Priority: v.priority, MayAsk: mayAsk, Unknown: p.unknownRequests(now, v.service.Name), Stalled: p.unusableGroups()}
 	if verdict == suspect.Suspected {
 		v.beginExclusive(by)
 		m = p.registry.ChooseFixed(now, choice, by[0], func(hash uint32) bool { return p.suspects.HasLost(now, by[0], hash) })
--- a/internal/process/gateway/gateway_seat.go
+++ b/internal/process/gateway/gateway_seat.go
@@ -24,6 +24,8 @@
 type seatUse struct {
 	// waiter is nil if the request has no seat.
 	waiter *seat.Waiter
+	// reserved is set until the request has a target.
+	reserved bool
 	// seatedAt is when the request got its seat, and firstAt when the first event of its answer arrived.
 	seatedAt, firstAt time.Time
 }
@@ -31,7 +33,7 @@
 // occupancy returns the number of requests in progress at a service and its number of seats. A plain service has those that its
 // targets run at once, and one more for each target, which queues it until an answer of this moment is known here; mu is held.
 func (p *Process) occupancy(s *site.Service, gap time.Duration) (running, seats int) {
-	o := p.registry.Occupancy(s.Name, p.stalls.Stalled())
+	o := p.registry.Occupancy(s.Name, p.unusableGroups())
 	running = o.Running + p.reservedSeats[s.Name]
 	if !s.Grouped() {
 		return running, o.Width + o.Ranks
@@ -50,7 +52,7 @@
 	}
 	const mantissa = 53
 	phase := float64(p.incarnation>>(64-mantissa)) / (1 << mantissa)
-	own := p.registry.Occupancy(service, p.stalls.Stalled()).Own
+	own := p.registry.Occupancy(service, p.unusableGroups()).Own
 	q.SetPart(own+p.reservedSeats[service], p.entries, newsAge, phase)
 	return q
 }
@@ -85,7 +87,7 @@
 		return false
 	}
 	now := p.Now()
-	v.waiter, v.seatedAt = w, now
+	v.waiter, v.seatedAt, v.reserved = w, now, true
 	p.metrics.seatWait.Observe(max(now.Sub(w.Arrived), 0).Seconds())
 	p.countSeat(event, w.Returned)
 	return true
@@ -101,7 +103,8 @@
 		Until: v.deadline.Add(-held), Ends: v.deadline, Workspace: v.workspace, Cost: v.seatCost(), Done: make(chan bool, 1),
 	}
 	if v.route.Goal > 0 {
-		w.Late = elapsed > v.route.Goal
+		elapsed += v.waitedFor
+		w.Late, w.Returned = elapsed > v.route.Goal, w.Returned || v.waitedFor > 0
 		if !w.Late {
 			first = min(first, time.Duration(maxFirstShare*float64(v.route.Goal)))
 			w.Until = v.began.Add(v.route.Goal - elapsed - first)
--- a/internal/process/gateway/gateway_serve.go
+++ b/internal/process/gateway/gateway_serve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/call"
+	"github.com/dragonflydeal/dragonflydeal/internal/edge/group"
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/memory"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/site"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/caller"
@@ -55,6 +56,10 @@
 	// groupRefused is set if the target of the latest attempt is one of a group and did not refuse for itself alone: all of the group
 	// refuse then.
 	groupRefused bool
+	// faultyGroup is set if that target has named the one because of which its group runs no requests.
+	faultyGroup bool
+	// groupsDown is set if all groups of the service were down then.
+	groupsDown bool
 	// unreached is set if no connection was made in the latest attempt, and connected if the target answered.
 	unreached, connected bool
 	// runs counts the attempts that may have run the request.
@@ -64,8 +69,8 @@
 	// events counts the events of the latest attempt, and heardAt is when it began or the last event arrived.
 	events  int
 	heardAt time.Time
-	// group is that of the latest attempt's target, or zero if it is not known.
-	group uint32
+	// groupHash is that of the latest attempt's target, or zero if it is not known.
+	groupHash uint32
 	// statement is what the target of the latest attempt said about itself.
 	statement call.Statement
 	// framed is set if the end of the latest answer can be told from the loss of its connection.
@@ -83,6 +88,9 @@
 	held        *memory.Hold
 	requestHeld int64
 	memoryShort bool
+	// planned is the latest plan for the request while all groups of its service were down, and waitedFor the time for which it waited.
+	planned   group.Plan
+	waitedFor time.Duration
 	// headersSent is set once the headers of an answer were sent to the caller.
 	headersSent bool
 }
--- a/internal/process/gateway/gateway_stream.go
+++ b/internal/process/gateway/gateway_stream.go
@@ -140,7 +140,7 @@
 		p.metrics.eventGap.Observe(gap.Seconds())
 		p.mu.Lock()
 		name := s.service.Name
-		p.estimator(name).Observe(now, gap, p.registry.GroupOccupancy(name, s.group), s.service, s.route.Gap)
+		p.estimator(name).Observe(now, gap, p.registry.GroupOccupancy(name, s.groupHash), s.service, s.route.Gap)
 		p.mu.Unlock()
 	}
 	s.lastEvent = now
--- a/internal/process/sidecar/sidecar_engine.go
+++ b/internal/process/sidecar/sidecar_engine.go
@@ -66,7 +66,7 @@
 	e.Pace = p.paceFilter.Add(p.Now(), &e)
 	p.core.UpdateEngine(p.Now(), e)
 	p.updateCurrentMap(e)
-	p.identity.engine = e
+	p.identity.engine, p.identity.engineReadAt = e, p.Now()
 	p.recordPace(p.Now(), p.core.State(p.Now()))
 	p.logChanges()
 	return nil
--- a/internal/process/sidecar/sidecar_identity.go
+++ b/internal/process/sidecar/sidecar_identity.go
@@ -18,8 +18,9 @@
 type identity struct {
 	// healthPath is that of the service, or empty while it is not known.
 	healthPath string
-	// engine is the latest report.
-	engine hold.Engine
+	// engine is the latest report, which was read at engineReadAt.
+	engine       hold.Engine
+	engineReadAt time.Time
 	// id is the ID of the target that started at startUnixMilli, or empty while it is not known.
 	id             string
 	startUnixMilli int64
@@ -28,6 +29,8 @@
 	addressed bool
 	// told is what was last reported.
 	told group.Member
+	// toldState is the state of the group that was last reported, without its time.
+	toldState group.State
 }
 
 // identify reads the ID of the target once for each incarnation.
@@ -96,7 +99,25 @@
 
 // changed reports whether something is to be reported at once.
 func (v *identity) changed() bool {
-	return v.member() != v.told
+	return v.member() != v.told || v.state(time.Time{}) != v.toldState
+}
+
+// state returns the state of the engine's group as of a time.
+func (v *identity) state(at time.Time) group.State {
+	e := &v.engine
+	if e.Group == "" {
+		return group.State{}
+	}
+	return group.State{Group: group.Hash(e.Group), Epoch: e.Epoch, Down: !e.Open, ReadAt: at}
+}
+
+// reportState returns the wire form of the state of the group to report now, or nil if it is not known.
+func (v *identity) reportState(now time.Time) *message.GroupState {
+	v.toldState = v.state(time.Time{})
+	if v.toldState.Group == 0 {
+		return nil
+	}
+	return message.EncodeState(now, v.state(v.engineReadAt))
 }
 
 // report returns the wire form of what to report now, or nil if the target is not known.
--- a/internal/process/sidecar/sidecar_send.go
+++ b/internal/process/sidecar/sidecar_send.go
@@ -122,7 +122,7 @@
 	}
 	p.reportedAt = now
 	n := p.newDatagram()
-	n.Report = &message.Report{View: p.mesh.KnownDigest(), Member: p.identity.report()}
+	n.Report = &message.Report{View: p.mesh.KnownDigest(), Member: p.identity.report(), Group: p.identity.reportState(now)}
 	to := p.mesh.Relays(now)
 	if !heard {
 		to = append(to, p.mesh.Seeds()...)
--- a/internal/proof/edge/group_test.go
+++ b/internal/proof/edge/group_test.go
@@ -24,9 +24,22 @@
 	mu sync.Mutex
 	// paces holds the pace of each target.
 	paces []float64
+	// epoch is the incarnation of all groups, and down is set while they run no requests.
+	epoch uint64
+	down  bool
 	stop  context.CancelFunc
 }
 
+// slotInterval is the time between two reports of a slot.
+const slotInterval = 300 * time.Millisecond
+
+// setGroups sets the state of all groups.
+func (s *slots) setGroups(epoch uint64, down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch, s.down = epoch, down
+}
+
 // reportTargets starts slots beside all targets, of which each is in a group of its own.
 func (r *rig) reportTargets(centre string) *slots {
 	r.t.Helper()
@@ -50,11 +63,12 @@
 			for sequence := uint64(1); ctx.Err() == nil; sequence++ {
 				s.mu.Lock()
 				m := group.Member{Target: hash, Group: group.Hash(x.id), Pace: s.paces[i]}
+				state := group.State{Group: m.Group, Epoch: s.epoch, Down: s.down, ReadAt: time.Now()}
 				s.mu.Unlock()
 				_ = socket.Send(&message.News{
-					Name: "slot-" + x.id, Centre: centre, Incarnation: 7, Sequence: sequence, Slot: true, Report: &message.Report{Member: message.EncodeMember(m)},
+					Name: "slot-" + x.id, Centre: centre, Incarnation: 7, Sequence: sequence, Slot: true, Report: &message.Report{Member: message.EncodeMember(m), Group: message.EncodeState(time.Now(), state)},
 				}, to)
-				time.Sleep(300 * time.Millisecond)
+				time.Sleep(slotInterval)
 			}
 		}()
 	}
