Plan switches by what switches were found to save

Change: the planner measures for 3 s what a switch saves, fits it to the planned gain, and switches only for what exceeds the copies' cost. The constants for a map's life, a load's cost and the least gain go.

--- a/internal/group/balance/placement.go
+++ b/internal/group/balance/placement.go
@@ -90,13 +90,13 @@
 // Moves returns the number of experts that ranks must load to switch from one map to another.
 func Moves(from, to *Placement) (n int) {
 	for r, held := range to.Ranks {
-		n += countMissing(held, from.Ranks[r])
+		n += CountMissing(held, from.Ranks[r])
 	}
 	return n
 }
 
-// countMissing returns the number of experts of the first list that are not in the second.
-func countMissing(list, other []int) (n int) {
+// CountMissing returns the number of experts of the first list that are not in the second.
+func CountMissing(list, other []int) (n int) {
 	for _, e := range list {
 		if !slices.Contains(other, e) {
 			n++
--- a/internal/group/balance/relief.go
+++ b/internal/group/balance/relief.go
@@ -85,7 +85,7 @@
 	s.potential = s.eighthPower
 	if o.InUse != nil {
 		for r, held := range p.Ranks {
-			s.addedBefore[r] = countMissing(held, o.InUse.Ranks[r])
+			s.addedBefore[r] = CountMissing(held, o.InUse.Ranks[r])
 		}
 	}
 	if o.Slowness != nil {
--- a/internal/group/load/load.go
+++ b/internal/group/load/load.go
@@ -51,10 +51,6 @@
 	shiftDistance = 0.25
 	// minCounts is the mean weight of counts per expert of a set, below which random variation dominates.
 	minCounts = 20
-	// mapLifetime is the time for which a map is expected to fit: demand shifts about every three seconds.
-	mapLifetime = 2 * time.Second
-	// loadCostShare is the cost of loading one expert, as a part of its load time for which the whole group stands still.
-	loadCostShare = 0.14
 	// maxRankLoadTime is the time for which a rank may load experts in one switch, over all sets, if it is enough for one:
 	// meanwhile the old map stays in use, and a few replicas of the most demanded experts relieve most.
 	maxRankLoadTime = 100 * time.Millisecond
@@ -62,14 +58,14 @@
 	maxRankLoads = 8
 	// defaultLoadTime is the time to load one expert if the configuration does not tell it.
 	defaultLoadTime = 100 * time.Millisecond
-	// minGain is the fraction of a step's time that a switch must save, so that noise causes no switch.
-	minGain = 0.05
 	// searchInterval is the time between two searches for a better map while the step time grows by less than searchGrowth and
 	// none was found: a search in a large group takes a part of the slot's processor.
 	searchInterval = 300 * time.Millisecond
 	searchGrowth   = 0.02
 	// minSwitchInterval is the minimum time between two decisions to switch.
 	minSwitchInterval = 300 * time.Millisecond
+	// maxMeasured is the longest time between two measurements whose counts are of the same demand.
+	maxMeasured = 500 * time.Millisecond
 )
 
 // Planner decides when a group changes its maps. It is not safe for concurrent use.
@@ -82,8 +78,9 @@
 	recent    [][]float64
 	// rankExperts holds the latest reported experts of each rank.
 	rankExperts map[int]reportedExperts
-	// decidedMap is the latest decided map, by set and rank.
+	// decidedMap is the latest decided map, by set and rank, and decided the decision.
 	decidedMap [][][]int
+	decided    Decision
 	// decidedVersion is the version of decidedMap.
 	decidedVersion uint64
 	// decidedAt is the time of the latest decision to switch.
@@ -91,6 +88,8 @@
 	// futile keeps the same search from being repeated at once.
 	futile futileSearch
 	paces  paces
+	// savings estimates for how long the gain of a switch lasts.
+	savings savings
 }
 
 type reportedExperts struct {
@@ -109,6 +108,9 @@
 	StepTime, NextStepTime float64
 	// Slow is the number of slow ranks.
 	Slow int
+	// expected is what switches were expected to save, and before and after are the maps.
+	expected      expectation
+	before, after []*balance.Placement
 }
 
 // NewPlanner returns a Planner without counts.
@@ -141,11 +143,33 @@
 // SwitchBegun records the version of the map under which a switch to the latest decision has begun.
 func (p *Planner) SwitchBegun(version uint64) {
 	p.decidedVersion = version
+	if d := &p.decided; d.Slow == 0 && d.StepTime > 0 {
+		p.savings.begin(trackedSwitch{measuredSwitch: measuredSwitch{gain: d.gain(), loaded: float64(d.Loaded)}, version: version, before: d.before, after: d.after})
+	}
 	if hasEmptyRank(p.decidedMap) {
 		p.paces.emptyVersion = version
 	}
 }
 
+// Measure measures what the latest switches have saved since the latest decay, given the version of the map in use.
+func (p *Planner) Measure(now time.Time, version uint64) {
+	elapsed := now.Sub(p.decayedAt)
+	if elapsed <= 0 || elapsed > maxMeasured {
+		return
+	}
+	minimum := minCounts * float64(p.Experts.Count)
+	p.savings.measure(now, version, elapsed, func(maps []*balance.Placement) float64 {
+		skew := 0.0
+		for s, m := range maps {
+			if sum(p.recent[s]) < minimum {
+				return 0
+			}
+			skew += balance.SlowSkew(m, p.recent[s], nil) / float64(p.Sets)
+		}
+		return p.relativeStepTime(skew)
+	})
+}
+
 // Decay applies the exponential decay to older counts, or drops those of a set whose demand has shifted, and adds the
 // recent ones.
 func (p *Planner) Decay(now time.Time) {
@@ -233,11 +257,13 @@
 		d.Map = append(d.Map, m.Ranks)
 	}
 	d.NextStepTime = p.relativeStepTime(next)
-	if (d.Loaded == 0 || (d.StepTime-d.NextStepTime)/d.StepTime < minGain) && !vacates(&d, maps, better, slowness) {
+	d.expected, d.before, d.after = p.expect(size), maps, better
+	loading := time.Duration(d.rankLoads()) * p.loadTime()
+	if (d.Loaded == 0 || !d.expected.worth(d.gain(), loading)) && !vacates(&d, maps, better, slowness) {
 		p.futile = futileSearch{at: now, version: version, stepTime: d.StepTime}
 		return d, false
 	}
-	p.decidedAt, p.decidedMap = now, d.Map
+	p.decidedAt, p.decidedMap, p.decided = now, d.Map, d
 	return d, true
 }
 
@@ -279,7 +305,7 @@
 	for _, s := range p.bySkew(better, slowness) {
 		o := balance.ReliefOptions{
 			Capacity: p.Capacity, MaxAdded: p.MaxAdded, InUse: maps[s], MaxAddedByRank: remaining,
-			MaxLoads: limit, MinReduction: p.requiredSkewReduction(),
+			MaxLoads: limit, MinReduction: p.requiredSkewReduction(len(maps[s].Ranks)),
 			Slowness: slowness, KeepOne: p.paces.emptyFailures >= maxEmptyFailures,
 		}
 		m, _ := f(o, better[s], p.loads[s])
@@ -324,8 +350,8 @@
 }
 
 // requiredSkewReduction returns the reduction of a set's skew that is worth the cost of loading one expert.
-func (p *Planner) requiredSkewReduction() float64 {
-	return loadCostShare * p.loadTime().Seconds() / mapLifetime.Seconds() * float64(p.Sets) / p.Share
+func (p *Planner) requiredSkewReduction(size int) float64 {
+	return p.expect(size).gainForExpert(p.loadTime()) * float64(p.Sets) / p.Share
 }
 
 // relativeStepTime returns the time of a step relative to that of an evenly loaded group, given the mean skew of the sets.
--- a/internal/group/load/load_test.go
+++ b/internal/group/load/load_test.go
@@ -212,6 +212,7 @@
 		ticks++
 		g.report(p, maps, version)
 		p.Count(counts)
+		p.Measure(now, version)
 		p.Decay(now)
 		if next != nil {
 			continue
--- a/internal/group/load/pace_test.go
+++ b/internal/group/load/pace_test.go
@@ -87,6 +87,7 @@
 		}
 		g.report(p, maps, version)
 		p.Count(counts)
+		p.Measure(now, version)
 		p.Decay(now)
 		if next != nil {
 			continue
--- a/internal/process/sidecar/sidecar_peers.go
+++ b/internal/process/sidecar/sidecar_peers.go
@@ -98,6 +98,7 @@
 	own := p.core.State(now)
 	p.planner.Count(p.tally.Take())
 	p.planner.SetRankExperts(own.Rank, own.Epoch, p.rankExperts)
+	p.planner.Measure(now, own.MapVersion)
 	p.planner.Decay(now)
 	if !p.core.Ready(now) {
 		return
@@ -106,7 +107,7 @@
 	if !ok {
 		return
 	}
-	p.Log.Info("balance", "loaded", d.Loaded, "skew", d.StepTime, "next", d.NextStepTime, "slow", d.Slow, "map", own.MapVersion, "step", own.Step)
+	p.Log.Info("balance", "loaded", d.Loaded, "skew", d.StepTime, "next", d.NextStepTime, "bias", d.Bias(), "slow", d.Slow, "map", own.MapVersion, "step", own.Step)
 	if p.core.Begin(now, patch.Sort(d.Map)) {
 		p.planner.SwitchBegun(p.core.Published().Version)
 	}
