--- a/internal/process/gateway/gateway_outage.go
+++ b/internal/process/gateway/gateway_outage.go
@@ -177,13 +177,14 @@
 	}
 }
 
-// outageRetryAfter returns the Retry-After of a request that a group has refused, or zero if it was not refused for an outage.
+// outageRetryAfter returns the Retry-After of a request that a group has refused or whose targets could not be reached, or zero if it was
+// not refused for an outage.
 func (v *request) outageRetryAfter() time.Duration {
 	p := v.process
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Now()
-	if _, down := p.outage(now, v.service); !down && !v.groupRefused {
+	if _, down := p.outage(now, v.service); !down && !v.groupRefused && !(v.unreached && v.service.Grouped()) {
 		return 0
 	}
 	return group.OutageReturn(now, v.deadline) + time.Duration(p.Random.Float64()*float64(outageSpread))
