--- a/internal/edge/group/states.go
+++ b/internal/edge/group/states.go
@@ -79,13 +79,13 @@
 }
 
 // AddDown adds the groups that are down to a set and reports whether there are any.
-func (s *States) AddDown(now time.Time, set map[uint32]bool) (any bool) {
+func (s *States) AddDown(now time.Time, set map[uint32]bool) (found bool) {
 	for hash := range s.groups {
 		if _, down := s.Down(now, hash); down {
-			set[hash], any = true, true
+			set[hash], found = true, true
 		}
 	}
-	return any
+	return found
 }
 
 // NoteRefusal records that an engine of a group has refused a request for the group, so that it is down until a slot has read otherwise.
--- a/internal/process/gateway/gateway_configuration.go
+++ b/internal/process/gateway/gateway_configuration.go
@@ -27,7 +27,6 @@
 )
 
 var (
-	errNoPeer        = merry.Sentinel("no relay has told of a later configuration")
 	errPeerBehind    = merry.Sentinel("the relay has no later configuration")
 	errOtherRevision = merry.Sentinel("the configuration has another version than the relay has told")
 )
--- a/internal/process/gateway/gateway_outage.go
+++ b/internal/process/gateway/gateway_outage.go
@@ -184,7 +184,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Now()
-	if _, down := p.outage(now, v.service); !down && !v.groupRefused && !(v.unreached && v.service.Grouped()) {
+	_, down := p.outage(now, v.service)
+	out := down || v.groupRefused || v.unreached && v.service.Grouped()
+	if !out {
 		return 0
 	}
 	return group.OutageReturn(now, v.deadline) + time.Duration(p.Random.Float64()*float64(outageSpread))
--- a/internal/proof/edge/group_test.go
+++ b/internal/proof/edge/group_test.go
@@ -41,7 +41,7 @@
 }
 
 // reportTargets starts slots beside all targets, of which each is in a group of its own.
-func (r *rig) reportTargets(centre string) *slots {
+func (r *rig) reportTargets() *slots {
 	r.t.Helper()
 	s := &slots{paces: make([]float64, len(r.targets))}
 	ctx, cancel := context.WithCancel(r.t.Context())
@@ -66,7 +66,7 @@
 				state := group.State{Group: m.Group, Epoch: s.epoch, Down: s.down, ReadAt: time.Now()}
 				s.mu.Unlock()
 				_ = socket.Send(&message.News{
-					Name: "slot-" + x.id, Centre: centre, Incarnation: 7, Sequence: sequence, Slot: true, Report: &message.Report{Member: message.EncodeMember(m), Group: message.EncodeState(time.Now(), state)},
+					Name: "slot-" + x.id, Centre: "c0", Incarnation: 7, Sequence: sequence, Slot: true, Report: &message.Report{Member: message.EncodeMember(m), Group: message.EncodeState(time.Now(), state)},
 				}, to)
 				time.Sleep(slotInterval)
 			}
@@ -92,7 +92,7 @@
 	far.settings.Centre = "c9"
 	r.start(far)
 	r.await(func() bool { return r.callAt(far, "GET", "/warm/", nil).status == http.StatusOK })
-	s := r.reportTargets("c0")
+	s := r.reportTargets()
 	// preferred reports whether all requests of all entries get to a target; the far entry has no preference of its own.
 	preferred := func(target int) bool {
 		before := r.targets[1-target].count()
@@ -155,7 +155,7 @@
 	r.engine = map[string]any{"stride": 4, "step_ms": 1, "per_seq_ms": 0.1, "sets": 2, "experts": 4, "places": 4}
 	r.configure(2, testKey)
 	// The other target costs two and a half requests more, so that three streams at once go to the first one.
-	r.reportTargets("c0").set(1, 2.9)
+	r.reportTargets().set(1, 2.9)
 	time.Sleep(2 * time.Second) // the entry has read the configuration and knows the groups
 	stream := func() int { return r.call("POST", "/fixed/", nil).status }
 	first := r.targets[0].count()
--- a/internal/proof/edge/outage_test.go
+++ b/internal/proof/edge/outage_test.go
@@ -63,7 +63,7 @@
 			r := groupedRig(t, &down, timeout)
 			var s *slots
 			if v.slots {
-				s = r.reportTargets("c0")
+				s = r.reportTargets()
 				s.setGroups(1, false)
 			}
 			time.Sleep(2 * time.Second) // the entries have read the configuration and know the groups
@@ -117,7 +117,7 @@
 	r := newRig(t, time.Minute, withWarmRoute(refuseForGroup), withWarmRoute(func(w http.ResponseWriter, q *http.Request) { writeEvents(w, q, 1, 3, false) }))
 	r.engine = map[string]any{"stride": 4, "step_ms": 1, "per_seq_ms": 0.1, "sets": 2, "experts": 4, "places": 4}
 	r.configure(2, testKey)
-	s := r.reportTargets("c0")
+	s := r.reportTargets()
 	s.setGroups(1, false)
 	time.Sleep(2 * time.Second)
 	for range 5 {
--- a/internal/proof/edge/relay_test.go
+++ b/internal/proof/edge/relay_test.go
@@ -64,7 +64,7 @@
 			time.Sleep(time.Second)
 			live := r.entries[entries/2:]
 			v.fault(r)
-			r.configure(2, "k-2")
+			r.configure(2, newKey)
 			r.registerTarget(r.targets[0], 0, "draining")
 			changed := time.Now()
 			time.Sleep(drain)
@@ -75,7 +75,7 @@
 			for range 20 {
 				for _, e := range live {
 					is.True(r.callAt(e, "POST", "/once/", nil).status != http.StatusOK)
-					is.Equal(r.callAt(e, "POST", "/once/", withKey("k-2")).status, http.StatusOK)
+					is.Equal(r.callAt(e, "POST", "/once/", withNewKey).status, http.StatusOK)
 				}
 			}
 			is.Equal(r.targets[0].count(), drained)
@@ -96,15 +96,15 @@
 			r := newSite(t, entries, revoke, serveDone)
 			time.Sleep(time.Second)
 			r.entries[i].storeCut.Store(true)
-			r.configure(2, "k-2")
+			r.configure(2, newKey)
 			changed := time.Now()
 			r.await(func() bool {
-				return r.callAt(r.entries[i], "POST", "/once/", withKey("k-2")).status == http.StatusOK
+				return r.callAt(r.entries[i], "POST", "/once/", withNewKey).status == http.StatusOK
 			})
 			is.True(time.Since(changed) < revoke)
 			time.Sleep(time.Until(changed.Add(revoke)))
 			for range 20 {
-				is.Equal(r.callAt(r.entries[i], "POST", "/once/", withKey("k-2")).status, http.StatusOK)
+				is.Equal(r.callAt(r.entries[i], "POST", "/once/", withNewKey).status, http.StatusOK)
 				is.True(r.callAt(r.entries[i], "POST", "/once/", nil).status != http.StatusOK)
 				time.Sleep(50 * time.Millisecond)
 			}
@@ -123,13 +123,13 @@
 		r.configure(10*i+1, testKey)
 		r.await(func() bool { return r.callAt(e, "POST", "/once/", nil).status == http.StatusOK })
 		e.frozen.Lock()
-		r.configure(10*i+2, "k-2")
+		r.configure(10*i+2, newKey)
 		time.Sleep(revoke + 200*time.Millisecond)
 		e.frozen.Unlock()
 		for range 10 {
 			is.True(r.callAt(e, "POST", "/once/", nil).status != http.StatusOK)
 		}
-		r.await(func() bool { return r.callAt(e, "POST", "/once/", withKey("k-2")).status == http.StatusOK })
+		r.await(func() bool { return r.callAt(e, "POST", "/once/", withNewKey).status == http.StatusOK })
 	}
 }
 
@@ -149,7 +149,7 @@
 					is.Equal(r.callAt(e, "POST", "/once/", nil).status, http.StatusOK)
 				}
 			}
-			r.configure(2, "k-2")
+			r.configure(2, newKey)
 			time.Sleep(revoke)
 			for _, e := range r.entries {
 				is.True(r.callAt(e, "POST", "/once/", nil).status != http.StatusOK)
@@ -158,7 +158,10 @@
 	}
 }
 
-// withKey returns a change of a request that sets its API key.
-func withKey(key string) func(*http.Request) {
-	return func(q *http.Request) { q.Header.Set("Authorization", "Bearer "+key) }
+// newKey is the API key of the configurations that replace testKey.
+const newKey = "k-2"
+
+// withNewKey sets the API key of a request to newKey.
+func withNewKey(q *http.Request) {
+	q.Header.Set("Authorization", "Bearer "+newKey)
 }
