Let no misdirected request mark its group as down

Cause: found when reading the change. A 421 also comes from an address that another service uses again, so one stale record could have made an entry refuse all requests of a group for up to a second. The time that a request has waited for a group no longer shortens its wait for a seat either: it counts only for whether the answer is late.

--- a/internal/process/gateway/gateway_attempt.go
+++ b/internal/process/gateway/gateway_attempt.go
@@ -267,8 +267,6 @@
 		v.process.mu.Lock()
 		m.Block(v.process.Now())
 		v.process.mu.Unlock()
-		// A rank that has restarted has taken its group down.
-		v.faultyGroup = v.service.Grouped()
 		return outcomeNotRun, nil, "another incarnation serves at the address"
 	case a.NotRun:
 		v.faultyGroup = v.service.Grouped() && a.FaultTarget != ""
--- a/internal/process/gateway/gateway_outage.go
+++ b/internal/process/gateway/gateway_outage.go
@@ -155,10 +155,7 @@
 		}
 		v.planned = plan
 		if !plan.Wait {
-			after := plan.Return + time.Duration(spread*float64(outageSpread))
-			p.metrics.outages.With("event", "refused").Add(1)
-			p.Log.Info("no group", "id", v.ID, "service", v.service.Name, "down", now.Sub(since), "waited", now.Sub(v.began), "remaining", v.remaining(), "retry", after)
-			v.refuse(http.StatusServiceUnavailable, outageReason, after)
+			v.refuseForOutage(now.Sub(since), plan.Return+time.Duration(spread*float64(outageSpread)))
 			return false
 		}
 		wait := min(outageCheck, max(plan.Until.Sub(now), time.Millisecond))
@@ -177,6 +174,14 @@
 	}
 }
 
+// refuseForOutage refuses a request whose groups have been down for a time.
+func (v *request) refuseForOutage(down, retryAfter time.Duration) {
+	p := v.process
+	p.metrics.outages.With("event", "refused").Add(1)
+	p.Log.Info("no group", "id", v.ID, "service", v.service.Name, "down", down, "waited", p.Now().Sub(v.began), "remaining", v.remaining(), "retry", retryAfter)
+	v.refuse(http.StatusServiceUnavailable, outageReason, retryAfter)
+}
+
 // outageRetryAfter returns the Retry-After of a request that a group has refused or whose targets could not be reached, or zero if it was
 // not refused for an outage.
 func (v *request) outageRetryAfter() time.Duration {
--- a/internal/process/gateway/gateway_seat.go
+++ b/internal/process/gateway/gateway_seat.go
@@ -103,8 +103,7 @@
 		Until: v.deadline.Add(-held), Ends: v.deadline, Workspace: v.workspace, Cost: v.seatCost(), Done: make(chan bool, 1),
 	}
 	if v.route.Goal > 0 {
-		elapsed += v.waitedFor
-		w.Late, w.Returned = elapsed > v.route.Goal, w.Returned || v.waitedFor > 0
+		w.Late, w.Returned = elapsed+v.waitedFor > v.route.Goal, w.Returned || v.waitedFor > 0
 		if !w.Late {
 			first = min(first, time.Duration(maxFirstShare*float64(v.route.Goal)))
 			w.Until = v.began.Add(v.route.Goal - elapsed - first)
