Keep no more requests waiting for a group than it can take beside first tries

Change: at most as many wait at an entry as it has seats beyond those that first tries take at their rate; the others are refused at once.

--- a/internal/edge/group/outage.go
+++ b/internal/edge/group/outage.go
@@ -51,3 +51,9 @@
 	spread := float64(waiting) / (resumeRate * max(seats, 1)) * float64(held)
 	return min(time.Duration(spread), maxResumeSpread)
 }
+
+// Kept returns the number of requests that wait for a group: as many as there are seats beyond those that first tries, which can be on time, will take
+// once a group is up. More would only displace those. The rate of first tries is in requests a second.
+func Kept(seats, rate float64, held time.Duration) int {
+	return max(int(seats-rate*held.Seconds()), 0)
+}
--- a/internal/edge/group/states_test.go
+++ b/internal/edge/group/states_test.go
@@ -112,3 +112,25 @@
 		})
 	}
 }
+
+// TestKept checks that no more requests wait for a group than it can take beside the first tries: those could be on time, and were displaced by
+// late ones for seconds after each outage.
+func TestKept(t *testing.T) {
+	const held = 2 * time.Second
+	tests := []struct {
+		name        string
+		seats, rate float64
+		kept        int
+	}{
+		{"no first tries", 16, 0, 16},
+		{"seats to spare", 16, 6, 4},
+		{"none to spare", 16, 8, 0},
+		{"too few", 16, 30, 0},
+	}
+	for _, v := range tests {
+		t.Run(v.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(Kept(v.seats, v.rate, held), v.kept)
+		})
+	}
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -137,6 +137,8 @@
 	queues     map[string]*seat.Queue
 	// arrivals estimates the rate of the callers' requests.
 	arrivals map[string]*target.Arrivals
+	// firstTries estimates the rate of those whose callers have not returned.
+	firstTries map[string]*target.Arrivals
 	// reservedSeats counts the requests that have a seat but no target yet.
 	reservedSeats map[string]int
 	// suspects holds the runs that ended without an answer, to find requests that end their targets.
@@ -153,7 +155,7 @@
 	p := &Process{
 		Options: o, metricSet: set, metrics: newProcessMetrics(set), transport: newTransport(o.Now), memory: newBuffers(o.Settings.Memory), started: o.Now(), incarnation: o.Random.Uint64(),
 		registry: target.NewRegistry(), peers: newPeers(&o), targetsAt: -1, storeNews: make(chan struct{}, 1),
-		budgets: map[string]*budget.Budget{}, estimators: map[string]*seat.Estimator{}, queues: map[string]*seat.Queue{}, arrivals: map[string]*target.Arrivals{}, reservedSeats: map[string]int{},
+		budgets: map[string]*budget.Budget{}, estimators: map[string]*seat.Estimator{}, queues: map[string]*seat.Queue{}, arrivals: map[string]*target.Arrivals{}, firstTries: map[string]*target.Arrivals{}, reservedSeats: map[string]int{},
 		suspects: suspect.NewTracker(), exclusive: map[uint64]bool{}, limits: newLimits(&o), groups: newGroups(), links: newLinks(&o),
 	}
 	p.confirmedAt.Store(-1)
--- a/internal/process/gateway/gateway_outage.go
+++ b/internal/process/gateway/gateway_outage.go
@@ -146,10 +146,14 @@
 			}
 			return true
 		}
-		if !waited {
-			defer v.countWaiting()()
-		}
 		plan := group.PlanOutage(now, since, v.deadline, held, v.elapsed() > 0)
+		if !waited && plan.Wait {
+			end, ok := v.countWaiting()
+			defer end()
+			if !ok {
+				plan = group.Plan{Return: group.OutageReturn(now, v.deadline)}
+			}
+		}
 		if waited && v.planned.Wait && now.Before(v.planned.Until) {
 			plan = v.planned
 		}
@@ -197,17 +201,28 @@
 	return group.OutageReturn(now, v.deadline) + time.Duration(p.Random.Float64()*float64(outageSpread))
 }
 
-// countWaiting counts the request as one that waits for the groups of its service, and returns the function that ends the count.
-func (v *request) countWaiting() (end func()) {
+// countWaiting counts the request as one that waits for the groups of its service, unless as many do as can be kept. It returns the function that ends
+// the count, and whether the request may wait.
+func (v *request) countWaiting() (end func(), ok bool) {
 	p, name := v.process, v.service.Name
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := p.Now()
+	_, held := p.queue(name).Usual()
+	_, seats := p.occupancy(v.service, v.route.Gap)
+	rate := 0.0
+	if a := p.firstTries[name]; a != nil {
+		rate = a.Rate(now)
+	}
+	if p.awaiting[name] >= group.Kept(float64(seats)/float64(max(p.entries, 1)), rate, held) {
+		return func() {}, false
+	}
 	p.awaiting[name]++
 	return func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.awaiting[name]--
-	}
+	}, true
 }
 
 // spreadAfterOutage delays a request that has waited for a group, by its random part of the time over which those that wait go on.
--- a/internal/process/gateway/gateway_run.go
+++ b/internal/process/gateway/gateway_run.go
@@ -27,7 +27,10 @@
 	v.service = v.configuration.Service(name)
 	p.mu.Lock()
 	p.budget(name).CountRequest(p.Now())
-	p.countArrival(name)
+	countArrival(p.arrivals, name, p.Now())
+	if v.elapsed() == 0 {
+		countArrival(p.firstTries, name, p.Now())
+	}
 	available := p.registry.Available(name)
 	now := p.Now()
 	verdict, by := p.suspects.Check(now, v.fingerprint, v.parts)
@@ -83,14 +86,14 @@
 	return b
 }
 
-// countArrival counts a request of a service; mu is held.
-func (p *Process) countArrival(service string) {
-	a := p.arrivals[service]
+// countArrival counts a request of a service.
+func countArrival(arrivals map[string]*target.Arrivals, service string, now time.Time) {
+	a := arrivals[service]
 	if a == nil {
 		a = &target.Arrivals{}
-		p.arrivals[service] = a
+		arrivals[service] = a
 	}
-	a.Count(p.Now())
+	a.Count(now)
 }
 
 // estimator returns the seat estimator of a service; mu is held.
--- a/internal/proof/edge/outage_test.go
+++ b/internal/proof/edge/outage_test.go
@@ -32,7 +32,8 @@
 		}
 		writeEvents(w, q, 1, 3, false)
 	})
-	r := newSite(t, 2, time.Minute, serve, serve)
+	r := &rig{slots: 60}
+	r.startSite(t, 2, time.Minute, serve, serve)
 	r.engine = map[string]any{"stride": 4, "step_ms": 1, "per_seq_ms": 0.1, "sets": 2, "experts": 4, "places": 4}
 	r.timeoutMs = int(timeout.Milliseconds())
 	r.configure(2, testKey)
