Play the refusal for a group with a caller that has not returned

The check stays as it is, no send to another rank and 503, for a caller on its first try; what one on its last try gets is checked by TestCallersOutliveGroupsThatFormAnew.

--- a/internal/proof/edge/rest_test.go
+++ b/internal/proof/edge/rest_test.go
@@ -211,6 +211,8 @@
 // TestRankThatRefusesAloneLeavesTheGroup checks that a request that one rank turns away for itself goes to another rank, and that one
 // that it turns away for the group does not.
 func TestRankThatRefusesAloneLeavesTheGroup(t *testing.T) {
+	// firstTry is the time limit of the route, so that the caller does not count as one that has returned and waits.
+	const firstTry = 2 * time.Second
 	tests := []struct {
 		name, fault string
 		status      int
@@ -234,7 +236,7 @@
 			r.configure(2, testKey)
 			time.Sleep(time.Second)
 			before := r.targets[1].count()
-			is.Equal(r.call("POST", "/once/", nil).status, v.status)
+			is.Equal(r.call("POST", "/once/", withTime(firstTry)).status, v.status)
 			is.Equal(r.targets[1].count()-before, v.sends)
 		})
 	}
