Let a restarted entry go on with the retries of the one before it

Cause: a process knows nothing of what the one before it has sent, so the bound held only because every process left room for the worst case: half of its part at once, and little for one that starts.

Change: two slots of the data centre keep what an entry has counted in the window. Its next process asks them and goes on with these counts, so that an entry may use its part at any time. Only a process that gets no counts, as after the loss of all machines, has a small part.

--- a/internal/edge/budget/budget.go
+++ b/internal/edge/budget/budget.go
@@ -11,16 +11,16 @@
 	// windowBuckets is the number of buckets in a window. Retries are kept for one more, since the newest bucket is not full.
 	windowBuckets = 20
 	buckets       = windowBuckets + 1
-	// ratioFraction and slackFraction are the parts of the bound's Ratio and Slack that an entry may use once it has run for a window.
+	// ratioFraction and slackFraction are the parts of the bound's Ratio and Slack that an entry may use.
 	ratioFraction = 0.8
-	slackFraction = 0.6
-	// burstFraction is the part of these that it may use at once. The rest becomes usable evenly over a window, so that the process
-	// after it finds room left in the bound.
-	burstFraction = 0.5
-	// youngRatioFraction and youngSlackFraction are the parts of a process that has run for less than a window. The one before it at the same
-	// address, and several like it in a row, may have used their parts in the same window.
-	youngRatioFraction = 0.6
-	youngSlackFraction = 0.1
+	slackFraction = 0.55
+	// youngRatioFraction and youngSlackFraction are the parts of a process that has run for less than a window and does not know what the
+	// one before it at the same address has sent. That one, and several like it in a row, may have used their parts in the same window.
+	youngRatioFraction = 0.2
+	youngSlackFraction = 0.08
+	// unrecordedFraction is the part of the retries allowed in a window after which they are to be recorded at once. The next process does
+	// not learn of those that were not.
+	unrecordedFraction = 0.1
 )
 
 // Budget counts the requests and retries of one service at one entry. It is not safe for concurrent use.
@@ -33,6 +33,10 @@
 	current           int
 	// bucketStart is the start of the current bucket.
 	bucketStart time.Time
+	// inherited is set if the counts contain those of the process before this one, and unrecorded counts the retries since the latest
+	// call of Record.
+	inherited  bool
+	unrecorded int
 }
 
 // New returns the empty Budget of a process that started at a time.
@@ -82,35 +86,55 @@
 	if entries > 0 {
 		slack = b.Slack / float64(entries)
 	}
-	if now.Sub(b.startedAt) < b.Window {
-		a.Allowed = youngRatioFraction*b.Ratio*float64(a.Requests) + youngSlackFraction*slack
-		return a
+	ratioPart, slackPart := ratioFraction, slackFraction
+	if !b.inherited && now.Sub(b.startedAt) < b.Window {
+		ratioPart, slackPart = youngRatioFraction, youngSlackFraction
 	}
-	a.Allowed = b.spread(ratioFraction*b.Ratio*float64(a.Requests) + slackFraction*slack)
+	a.Allowed = ratioPart*b.Ratio*float64(a.Requests) + slackPart*slack
 	return a
 }
 
-// spread returns how many of the retries that are allowed in a window may have been sent by now: in the latest buckets, however many
-// these are, at most burstFraction and their part of the rest.
-func (b *Budget) spread(allowed float64) float64 {
-	total := 0
-	for _, n := range b.retries {
-		total += n
-	}
-	most, recent := allowed, 0
-	for age := range buckets {
-		recent += b.retries[(b.current+buckets-age)%buckets]
-		part := burstFraction + (1-burstFraction)*min(float64(age)/windowBuckets, 1)
-		most = min(most, part*allowed+float64(total-recent))
-	}
-	return most
-}
-
 // AllowRetry reports whether a retry may be sent and counts it if so. Entries is as in Account.
 func (b *Budget) AllowRetry(now time.Time, entries int) bool {
-	if a := b.Account(now, entries); float64(a.Retries+1) > a.Allowed {
+	a := b.Account(now, entries)
+	if float64(a.Retries+1) > a.Allowed {
 		return false
 	}
 	b.retries[b.current]++
+	b.unrecorded++
 	return true
 }
+
+// Record returns what was counted in the latest window.
+func (b *Budget) Record(now time.Time) Record {
+	b.advance(now)
+	b.unrecorded = 0
+	r := Record{At: now}
+	for age := range buckets {
+		i := (b.current + buckets - age) % buckets
+		r.Requests, r.Retries = append(r.Requests, b.requests[i]), append(r.Retries, b.retries[i])
+	}
+	return r
+}
+
+// Inherit adds what the processes before this one have counted. It has an effect only once.
+func (b *Budget) Inherit(now time.Time, r Record) {
+	if b.inherited {
+		return
+	}
+	b.inherited = true
+	b.advance(now)
+	// The buckets of the record began at other times. Retries count for up to a bucket too long, and requests too short.
+	skip := r.age(now, b.Window)
+	for age := range buckets {
+		i := (b.current + buckets - age) % buckets
+		b.requests[i] += count(r.Requests, age-skip-1)
+		b.retries[i] += count(r.Retries, age-skip)
+	}
+}
+
+// Unrecorded reports whether retries were counted since the latest call of Record, and whether these are so many that it must be called
+// at once.
+func (b *Budget) Unrecorded(a Account) (some, many bool) {
+	return b.unrecorded > 0, float64(b.unrecorded) >= max(unrecordedFraction*a.Allowed, 1)
+}
--- a/internal/edge/budget/budget_test.go
+++ b/internal/edge/budget/budget_test.go
@@ -1,8 +1,10 @@
 package budget
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -96,40 +98,121 @@
 		{"630 entries", 630, 75, largeBound, killed - tick, 0.8, 3 * time.Second, 3},
 	}
 	for _, v := range tests {
-		t.Run(v.name, func(t *testing.T) {
-			is := is.New(t)
-			start := time.Unix(1_700_000_000, 0)
-			random := rand.New(rand.NewPCG(1, 2))
-			budgets := make([]*Budget, v.entries)
-			for i := range budgets {
-				budgets[i] = New(v.bound, start)
-			}
-			var requests, retries []int
-			kills := 0
-			for elapsed := time.Duration(0); elapsed < time.Minute; elapsed += tick {
-				now := start.Add(elapsed)
-				if kills < v.count && elapsed >= killed+time.Duration(kills)*v.interval {
-					kills++
-					for _, i := range random.Perm(v.entries)[:int(math.Ceil(v.share*float64(v.entries)))] {
-						budgets[i] = New(v.bound, now)
+		for _, archived := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s/archived=%t", v.name, archived), func(t *testing.T) {
+				is := is.New(t)
+				for seed := range uint64(3) {
+					start := time.Unix(1_700_000_000, 0)
+					w := newFleet(start, seed, v.entries, v.bound, archived)
+					var requests, retries []int
+					kills := 0
+					for elapsed := time.Duration(0); elapsed < time.Minute; elapsed += tick {
+						now := start.Add(elapsed)
+						if kills < v.count && elapsed >= killed+time.Duration(kills)*v.interval {
+							kills++
+							for _, i := range w.random.Perm(v.entries)[:int(math.Ceil(v.share*float64(v.entries)))] {
+								w.restart(now, i)
+							}
+						}
+						requests, retries = append(requests, v.perTick), append(retries, w.tick(now, v.perTick, elapsed >= v.failing))
 					}
+					most, allowed := mostAbove(requests, retries, tick, v.bound)
+					t.Logf("seed %d: %d retries in %s, %.0f allowed", seed, most, v.bound.Window, allowed)
+					is.True(float64(most) <= allowed)
 				}
-				retried := 0
-				for range v.perTick {
-					budgets[random.IntN(v.entries)].CountRequest(now)
-				}
-				for _, b := range budgets {
-					for elapsed >= v.failing && b.AllowRetry(now, v.entries) {
-						retried++
-					}
+			})
+		}
+	}
+}
+
+// fleet is a number of entries whose records are archived or lost. An entry records its retries each recordTime, or at once if they are
+// many, and learns of those of the process before it learnTime after its start.
+type fleet struct {
+	random   *rand.Rand
+	bound    site.RetryBound
+	archive  *Archive
+	archived bool
+	budgets  []*Budget
+	starts   []time.Time
+	// incarnations counts the processes of each entry.
+	incarnations []uint64
+	recordedAt   []time.Time
+}
+
+const recordTime, learnTime = 200 * time.Millisecond, 300 * time.Millisecond
+
+func newFleet(now time.Time, seed uint64, entries int, bound site.RetryBound, archived bool) *fleet {
+	w := &fleet{
+		random: rand.New(rand.NewPCG(1, seed)), bound: bound, archive: NewArchive(), archived: archived,
+		budgets: make([]*Budget, entries), starts: make([]time.Time, entries), incarnations: make([]uint64, entries), recordedAt: make([]time.Time, entries),
+	}
+	for i := range entries {
+		w.restart(now, i)
+		w.recordedAt[i] = now.Add(-time.Duration(w.random.Int64N(int64(recordTime))))
+	}
+	return w
+}
+
+func (w *fleet) restart(now time.Time, i int) {
+	w.budgets[i], w.starts[i] = New(w.bound, now), now
+	w.incarnations[i]++
+}
+
+// tick lets the entries get a number of requests, of which they retry as many as they may if targets fail, and returns these.
+func (w *fleet) tick(now time.Time, requests int, failing bool) (retried int) {
+	for range requests {
+		w.budgets[w.random.IntN(len(w.budgets))].CountRequest(now)
+	}
+	for i, b := range w.budgets {
+		for failing && b.AllowRetry(now, len(w.budgets)) {
+			retried++
+			if _, many := b.Unrecorded(b.Account(now, len(w.budgets))); many {
+				w.record(now, i)
+			}
+		}
+		if now.Sub(w.recordedAt[i]) >= recordTime {
+			w.record(now, i)
+		}
+	}
+	return retried
+}
+
+func (w *fleet) record(now time.Time, i int) {
+	b, age := w.budgets[i], now.Sub(w.starts[i])
+	w.recordedAt[i] = now
+	r := b.Record(now)
+	if !w.archived || age < learnTime {
+		return
+	}
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i % 250)}), 7000)
+	w.archive.Keep(now, address, w.incarnations[i], Records{Services: map[string]Record{"a": r}}, b.inherited || age >= w.bound.Window, w.bound.Window)
+	if earlier := w.archive.Earlier(address); earlier.Services != nil {
+		b.Inherit(now, earlier.Services["a"])
+	}
+}
+
+// TestRestartedEntriesGoOnRetrying has targets fail from the time at which all entries are killed, and counts the retries until shortly
+// after.
+func TestRestartedEntriesGoOnRetrying(t *testing.T) {
+	is := is.New(t)
+	const tick, entries, perTick, killed = 50 * time.Millisecond, 35, 14, 20 * time.Second
+	bound := site.RetryBound{Ratio: 0.2, Slack: 208, Window: 10 * time.Second}
+	var retries [2]int
+	for i, restart := range []bool{false, true} {
+		start := time.Unix(1_700_000_000, 0)
+		w := newFleet(start, 2, entries, bound, true)
+		for elapsed := time.Duration(0); elapsed < killed+4*time.Second; elapsed += tick {
+			now := start.Add(elapsed)
+			for n := range entries {
+				if restart && elapsed == killed {
+					w.restart(now, n)
 				}
-				requests, retries = append(requests, v.perTick), append(retries, retried)
 			}
-			most, allowed := mostAbove(requests, retries, tick, v.bound)
-			t.Logf("%d retries in %s, %.0f allowed", most, v.bound.Window, allowed)
-			is.True(float64(most) <= allowed)
-		})
+			retries[i] += w.tick(now, perTick, elapsed >= killed)
+		}
 	}
+	t.Logf("%d retries, %d after a restart", retries[0], retries[1])
+	is.True(retries[1] >= retries[0]*9/10)
 }
 
 // mostAbove returns the retries of the window in which they are nearest to the bound, or farthest above it, and what is allowed there.
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -132,7 +132,6 @@
 	source        configurationSource
 	// blind is set from a failed read of the store until one succeeds.
 	blind      bool
-	budgets    map[string]*budget.Budget
 	estimators map[string]*seat.Estimator
 	queues     map[string]*seat.Queue
 	// arrivals estimates the rate of the callers' requests.
@@ -147,6 +146,7 @@
 	exclusive map[uint64]bool
 	limits
 	groups
+	retries
 }
 
 // New returns a Process; Run starts it.
@@ -155,7 +155,7 @@
 	p := &Process{
 		Options: o, metricSet: set, metrics: newProcessMetrics(set), transport: newTransport(o.Now), memory: newBuffers(o.Settings.Memory), started: o.Now(), incarnation: o.Random.Uint64(),
 		registry: target.NewRegistry(), peers: newPeers(&o), targetsAt: -1, storeNews: make(chan struct{}, 1),
-		budgets: map[string]*budget.Budget{}, estimators: map[string]*seat.Estimator{}, queues: map[string]*seat.Queue{}, arrivals: map[string]*target.Arrivals{}, firstTries: map[string]*target.Arrivals{}, reservedSeats: map[string]int{},
+		retries: retries{budgets: map[string]*budget.Budget{}}, estimators: map[string]*seat.Estimator{}, queues: map[string]*seat.Queue{}, arrivals: map[string]*target.Arrivals{}, firstTries: map[string]*target.Arrivals{}, reservedSeats: map[string]int{},
 		suspects: suspect.NewTracker(), exclusive: map[uint64]bool{}, limits: newLimits(), groups: newGroups(), links: newLinks(&o),
 	}
 	p.confirmedAt.Store(-1)
--- a/internal/process/gateway/gateway_peers.go
+++ b/internal/process/gateway/gateway_peers.go
@@ -80,7 +80,9 @@
 			p.Log.Info("relay", "active", p.mesh.IsRelay())
 			p.wakeStore()
 		}
-		p.followEntries(now, p.mesh.View(now).Entries())
+		view := p.mesh.View(now)
+		p.followEntries(now, view.Entries())
+		p.recordRetries(now, view)
 		p.followColds(now, p.entries)
 		p.followGroups(now)
 		p.expireMirrors(now)
@@ -180,6 +182,9 @@
 	p.learnRuns(now, n)
 	p.learnLimits(now, n)
 	if n.Slot {
+		if n.Retries != nil {
+			p.inheritRetries(now, n.Retries)
+		}
 		p.answerSlot(now, from, n, isNew)
 		return
 	}
--- a/internal/process/gateway/gateway_run.go
+++ b/internal/process/gateway/gateway_run.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"github.com/dragonflydeal/dragonflydeal/internal/edge/budget"
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/seat"
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/target"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/suspect"
@@ -24,7 +23,7 @@
 	name := v.pickService()
 	v.service = v.configuration.Service(name)
 	p.mu.Lock()
-	p.budget(name).CountRequest(p.Now())
+	p.budget(p.Now(), name).CountRequest(p.Now())
 	countArrival(p.arrivals, name, p.Now())
 	if v.elapsed() == 0 {
 		countArrival(p.firstTries, name, p.Now())
@@ -74,16 +73,6 @@
 	return services[len(services)-1].Service
 }
 
-// budget returns the retry budget of a service; mu is held.
-func (p *Process) budget(service string) *budget.Budget {
-	b := p.budgets[service]
-	if b == nil {
-		b = budget.New(p.settings.Load().Retries, p.started)
-		p.budgets[service] = b
-	}
-	return b
-}
-
 // countArrival counts a request of a service.
 func countArrival(arrivals map[string]*target.Arrivals, service string, now time.Time) {
 	a := arrivals[service]
@@ -207,22 +196,3 @@
 		p.Log.Info("centre reachable", "centre", m.Centre, "target", m.ID, "id", v.ID)
 	}
 }
-
-// takeRetry takes a retry from the service's budget and reports whether one was left.
-func (v *request) takeRetry() bool {
-	p := v.process
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.Now()
-	entries := p.roster.Entries(now)
-	b := p.budget(v.service.Name)
-	allowed := b.AllowRetry(now, entries)
-	event := "refused"
-	if allowed {
-		event = "allowed"
-	}
-	p.metrics.retries.With("event", event).Add(1)
-	a := b.Account(now, entries)
-	p.Log.Info("retry", "id", v.ID, "service", v.service.Name, "event", event, "requests", a.Requests, "retries", a.Retries, "bound", a.Allowed, "entries", entries, "age", now.Sub(p.started))
-	return allowed
-}
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
+	"github.com/dragonflydeal/dragonflydeal/internal/edge/budget"
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/mesh"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/site"
 	"github.com/dragonflydeal/dragonflydeal/internal/group/hold"
@@ -113,6 +114,8 @@
 	identity   identity
 	// suspects holds the lost runs that entries have reported, for entries that start when no other entry runs.
 	suspects *suspect.Tracker
+	// retries keeps what entries have counted of their retries, for the processes that follow them.
+	retries *budget.Archive
 	// expertConfig describes the group's experts; nil until the configuration was read.
 	expertConfig *site.Experts
 	// rankExperts are the experts that the own rank holds, as read in rankExpertsEpoch.
@@ -159,6 +162,7 @@
 		attemptBandwidth: rate.NewLimiter(rate.Limit(attemptLinkShare*linkRate(o.Settings)), attemptBurst),
 		mesh:             mesh.New(mesh.Peer{Address: o.Settings.Peers, Centre: o.Settings.Centre, Slot: true}, relaySilence, o.Settings.Seeds),
 		suspects:         suspect.NewTracker(),
+		retries:          budget.NewArchive(),
 	}
 	p.settings.Store(o.Settings)
 	p.core.SetEngineAddress(reachableEngine(o.Settings))
--- a/internal/process/sidecar/sidecar_peers.go
+++ b/internal/process/sidecar/sidecar_peers.go
@@ -38,6 +38,7 @@
 		p.Log.Info("peer heard", "peer", n.Name, "address", from, "incarnation", n.Incarnation)
 	}
 	p.keepRuns(now, from, n, isNew)
+	p.keepRetries(now, from, n)
 	if n.Rank == nil {
 		return
 	}
@@ -72,6 +73,20 @@
 	}
 }
 
+// keepRetries keeps what an entry has counted of its retries, and sends it what the processes before it at its address had counted if it
+// lacks that; mu is held.
+func (p *Process) keepRetries(now time.Time, from netip.AddrPort, n *message.News) {
+	if n.Slot || n.Retries == nil {
+		return
+	}
+	p.retries.Keep(now, from, n.Incarnation, n.Retries.Decode(now), n.Retries.Complete, p.settings.Load().Retries.Window)
+	if earlier := p.retries.Earlier(from); !n.Retries.Complete && earlier.Services != nil {
+		reply := p.newDatagram()
+		reply.Retries = message.EncodeRecords(now, earlier, true)
+		p.send(reply, []netip.AddrPort{from})
+	}
+}
+
 // recordCounts passes the counts and the experts of a rank to the planner if this slot is the leader; mu is held.
 func (p *Process) recordCounts(s hold.State, n *message.News) {
 	if p.planner == nil || len(n.Counts) == 0 && len(n.Experts) == 0 || !p.core.IsLeader() {
--- a/internal/proof/edge/budget_test.go
+++ b/internal/proof/edge/budget_test.go
@@ -79,17 +79,21 @@
 	const entries, rate = 20, 80
 	bound := site.RetryBound{Ratio: 0.2, Slack: 150, Window: 10 * time.Second}
 	tests := []struct {
-		name  string
-		split bool
+		name         string
+		split, slots bool
 	}{
-		{"entries that hear each other", false},
-		{"entries cut off from each other", true},
+		{"entries that hear each other", false, false},
+		{"entries cut off from each other", true, false},
+		{"entries whose records slots keep", false, true},
 	}
 	for _, v := range tests {
 		t.Run(v.name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
 			c := newRefusing(t, entries, 3, bound)
+			if v.slots {
+				c.reportTargets()
+			}
 			time.Sleep(bound.Window)
 			c.split.Store(v.split)
 			restarted := make(chan struct{})
@@ -111,3 +115,26 @@
 		})
 	}
 }
+
+// TestRestartedEntryGoesOnRetrying restarts an entry just when its targets begin to refuse, with most of its retries unused.
+func TestRestartedEntryGoesOnRetrying(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newRefusing(t, 1, 3, site.RetryBound{Ratio: 0.2, Slack: 20, Window: 10 * time.Second})
+	c.reportTargets()
+	callers := &limited{rig: c.rig}
+	// The first process must have run for a window.
+	time.Sleep(5 * time.Second)
+	loaded := make(chan struct{})
+	go func() {
+		defer close(loaded)
+		callers.load("/warm/", 100, 8*time.Second)
+	}()
+	time.Sleep(6 * time.Second)
+	c.restartAll()
+	<-loaded
+	sent, _ := callers.load("/safe/", 40, time.Second)
+	most := c.most(10 * time.Second)
+	t.Logf("%d repeats for %d requests", most, sent)
+	is.True(most >= sent/2)
+}
--- a/internal/proof/edge/group_test.go
+++ b/internal/proof/edge/group_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dragonflydeal/dragonflydeal/internal/edge/budget"
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/group"
 	registry "github.com/dragonflydeal/dragonflydeal/internal/edge/target"
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/site"
@@ -57,17 +58,35 @@
 		if err != nil {
 			r.t.Fatal(err)
 		}
-		go func() { _ = socket.Receive(ctx, func(netip.AddrPort, *message.News) {}, func(error) {}) }()
+		var sequence atomic.Uint64
+		head := func() *message.News {
+			return &message.News{Name: "slot-" + x.id, Centre: "c0", Incarnation: 7, Sequence: sequence.Add(1), Slot: true}
+		}
+		archive := budget.NewArchive()
+		go func() {
+			_ = socket.Receive(ctx, func(from netip.AddrPort, n *message.News) {
+				if n.Retries == nil {
+					return
+				}
+				now := time.Now()
+				archive.Keep(now, from, n.Incarnation, n.Retries.Decode(now), n.Retries.Complete, r.entries[0].settings.Retries.Window)
+				if earlier := archive.Earlier(from); !n.Retries.Complete && earlier.Services != nil {
+					reply := head()
+					reply.Retries = message.EncodeRecords(now, earlier, true)
+					_ = socket.Send(reply, []netip.AddrPort{from})
+				}
+			}, func(error) {})
+		}()
 		hash := registry.Hash(&site.Target{ID: x.id, StartUnixMilli: int64(x.born)})
 		go func() {
-			for sequence := uint64(1); ctx.Err() == nil; sequence++ {
+			for ctx.Err() == nil {
 				s.mu.Lock()
 				m := group.Member{Target: hash, Group: group.Hash(x.id), Pace: s.paces[i]}
 				state := group.State{Group: m.Group, Epoch: s.epoch, Down: s.down, ReadAt: time.Now()}
 				s.mu.Unlock()
-				_ = socket.Send(&message.News{
-					Name: "slot-" + x.id, Centre: "c0", Incarnation: 7, Sequence: sequence, Slot: true, Report: &message.Report{Member: message.EncodeMember(m), Group: message.EncodeState(time.Now(), state)},
-				}, to)
+				n := head()
+				n.Report = &message.Report{Member: message.EncodeMember(m), Group: message.EncodeState(time.Now(), state)}
+				_ = socket.Send(n, to)
 				time.Sleep(slotInterval)
 			}
 		}()
