Answer each request before a stopping entry ends

Reported by operators of similar systems, and seen here: requests that were longer than the grace period of a planned stop got no answer, among them requests that may not be repeated (LOST). Requests that waited were passed on when a seat became free shortly before the end.

Cause: a stop waited for the requests in progress, but nothing ended those that it could not wait for, and the time limits of requests and waiters did not depend on the stop.

Change: from the signal on, no request goes on beyond the end of the stop less the time for the last answers. An attempt then in progress is cancelled and its caller gets 504; what has not run gets 503. A request that waits, or comes after the signal, is refused if attempts usually take longer than what is left. Targets are told the shorter time. A stream that has begun can only be broken off.

--- a/internal/edge/seat/queue.go
+++ b/internal/edge/seat/queue.go
@@ -230,6 +230,24 @@
 	}
 }
 
+// EndBy lets no waiter hold a seat for its usual time beyond a time, after which the process ends.
+func (q *Queue) EndBy(at time.Time) {
+	latest := at.Add(-seconds(q.usualHold()))
+	for p := range q.classes {
+		for _, a := range q.classes[p].active {
+			for _, w := range a.waiters {
+				w.committed = false
+				if w.Until.After(latest) {
+					w.Until = latest
+				}
+				if w.Ends.IsZero() || w.Ends.After(at) {
+					w.Ends = at
+				}
+			}
+		}
+	}
+}
+
 // next returns the waiter that gets the next seat, or nil if none may have one.
 func (q *Queue) next(running, seats int) (*class, *account, *Waiter) {
 	for p := priorities - 1; p > 0; p-- {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -147,16 +147,18 @@
 	limits
 	groups
 	retries
+	ending
 }
 
 // New returns a Process; Run starts it.
 func New(o Options) *Process {
 	set := metrics.NewSet()
+	ended, end := context.WithCancel(context.Background())
 	p := &Process{
 		Options: o, metricSet: set, metrics: newProcessMetrics(set), transport: newTransport(o.Now), memory: newBuffers(o.Settings.Memory), started: o.Now(), incarnation: o.Random.Uint64(),
 		registry: target.NewRegistry(), peers: newPeers(&o), targetsAt: -1, storeNews: make(chan struct{}, 1),
 		retries: retries{budgets: map[string]*budget.Budget{}}, estimators: map[string]*seat.Estimator{}, queues: map[string]*seat.Queue{}, arrivals: map[string]*target.Arrivals{}, firstTries: map[string]*target.Arrivals{}, reservedSeats: map[string]int{},
-		suspects: suspect.NewTracker(), exclusive: map[uint64]bool{}, limits: newLimits(), groups: newGroups(), links: newLinks(&o),
+		suspects: suspect.NewTracker(), exclusive: map[uint64]bool{}, limits: newLimits(), groups: newGroups(), ending: ending{ended: ended, end: end}, links: newLinks(&o),
 	}
 	p.confirmedAt.Store(-1)
 	now, _ := o.Boot.Now()
--- a/internal/process/gateway/gateway_attempt.go
+++ b/internal/process/gateway/gateway_attempt.go
@@ -88,6 +88,11 @@
 			break
 		}
 		v.process.awaitCatchUp(v.caller.Context())
+		if !v.canEnd() {
+			v.rejection = rejection{http.StatusServiceUnavailable, errStopping.Error(), shortRetryAfter}
+			reason = v.rejection.reason
+			break
+		}
 		m := v.chooseTarget()
 		if m == nil {
 			if v.rejection.status != 0 {
@@ -198,6 +203,7 @@
 	defer cancel()
 	ctx, stop := context.WithCancelCause(withSendBy(ctx, v.sendBy))
 	defer stop(nil)
+	defer context.AfterFunc(p.ended, func() { stop(errStopping) })()
 	if wait := v.attemptTimeout(); wait > 0 {
 		t := time.AfterFunc(wait, func() { stop(errAttemptTimeout) })
 		defer t.Stop()
--- a/internal/process/gateway/gateway_outage.go
+++ b/internal/process/gateway/gateway_outage.go
@@ -146,15 +146,15 @@
 			}
 			return true
 		}
-		plan := group.PlanOutage(now, since, v.deadline, held, v.elapsed() > 0)
+		plan := group.PlanOutage(now, since, v.ends(), held, v.elapsed() > 0)
 		if !waited && plan.Wait {
 			end, ok := v.countWaiting()
 			defer end()
 			if !ok {
-				plan = group.Plan{Return: group.OutageReturn(now, v.deadline)}
+				plan = group.Plan{Return: group.OutageReturn(now, v.ends())}
 			}
 		}
-		if waited && v.planned.Wait && now.Before(v.planned.Until) {
+		if waited && v.planned.Wait && now.Before(v.planned.Until) && !v.planned.Until.After(v.ends()) {
 			plan = v.planned
 		}
 		v.planned = plan
--- a/internal/process/gateway/gateway_seat.go
+++ b/internal/process/gateway/gateway_seat.go
@@ -100,7 +100,7 @@
 	first, held := queue.Usual()
 	w := &seat.Waiter{
 		Priority: v.priority, Returned: elapsed > 0 && elapsed >= seat.ReturnTime(v.route.Timeout), Arrived: now, Goal: v.route.Goal, Gap: v.route.Gap,
-		Until: v.deadline.Add(-held), Ends: v.deadline, Workspace: v.workspace, Cost: v.seatCost(), Done: make(chan bool, 1),
+		Until: v.ends().Add(-held), Ends: v.ends(), Workspace: v.workspace, Cost: v.seatCost(), Done: make(chan bool, 1),
 	}
 	if v.route.Goal > 0 {
 		w.Late, w.Returned = elapsed+v.waitedFor > v.route.Goal, w.Returned || v.waitedFor > 0
@@ -110,7 +110,7 @@
 		}
 	} else {
 		// Without a goal any answer within the time limit is on time.
-		w.Goal = v.deadline.Sub(v.began)
+		w.Goal = v.ends().Sub(v.began)
 	}
 	return w
 }
--- a/internal/process/gateway/gateway_serve.go
+++ b/internal/process/gateway/gateway_serve.go
@@ -233,9 +233,9 @@
 	}
 }
 
-// remaining returns the time left until the request's deadline.
+// remaining returns the time left for the request.
 func (v *request) remaining() time.Duration {
-	return v.deadline.Sub(v.process.Now())
+	return v.ends().Sub(v.process.Now())
 }
 
 // refuse ends a request with an answer of the entry itself. Statuses 429 and 503 tell the caller that it has not run.
--- a/internal/proof/edge/rig_test.go
+++ b/internal/proof/edge/rig_test.go
@@ -77,6 +77,8 @@
 	entries []*entry
 	// timeoutMs is the time limit of requests in the next configuration; zero for two seconds.
 	timeoutMs int
+	// goalMs is the time within which an answer is on time in the next configuration; zero for half a second.
+	goalMs int
 	// slots is the number of requests that each target runs at once; zero for six.
 	slots int
 	// edit changes the settings of an entry that is added; nil for none.
@@ -305,7 +307,7 @@
 func (r *rig) configure(version int, key string) {
 	route := func(name, kind string, attempts int, resumable bool) map[string]any {
 		return map[string]any{
-			"name": name, "host": "desk.example", "prefix": "/" + name + "/", "kind": kind, "timeoutMs": cmp.Or(r.timeoutMs, 2000), "goalMs": 500,
+			"name": name, "host": "desk.example", "prefix": "/" + name + "/", "kind": kind, "timeoutMs": cmp.Or(r.timeoutMs, 2000), "goalMs": cmp.Or(r.goalMs, 500),
 			"priority": 1, "service": "holds", "attempts": attempts, "resumable": resumable, "gapAimMs": 120,
 		}
 	}
