End the requests at the stop limit of the product's processes

A call in progress at the stop limit of an entry got 502, outcome unknown, but only since the connections to slots closed a moment before those to callers; a request that may be repeated was moved to another target in that moment. Requests that waited in the queue of a stopping slot were started when the engine became free, however little time was left.

Change: in the last tenth of the stop limit an entry ends what is in progress with 504 and logs it as before; a slot bounds the deadlines of what waits by the same time, so that these are refused as not run and can go elsewhere.

TestStopLimitAnswersCalls: 502 before. TestStopLimit passes as before.

--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -124,6 +124,8 @@
 		return c.handlePeerStatus(e.PeerStatus)
 	case e.Stop != nil:
 		return c.stop(now)
+	case e.End != nil:
+		return c.end(now)
 	case e.Tick != nil:
 		return c.tick(now)
 	}
--- a/internal/core/entry/entry_request.go
+++ b/internal/core/entry/entry_request.go
@@ -311,12 +311,17 @@
 		if now.Before(x.deadline) {
 			continue
 		}
-		actions = append(actions, Action{Cancel: &Cancel{ID: x.request.ID, Attempt: x.request.Attempt}})
-		outcome := call.OutcomeFailed
-		if x.request.Key != "" || x.request.Lookup {
-			outcome = call.OutcomeUnknown
-		}
-		actions = append(actions, c.finish(x, http.StatusGatewayTimeout, outcome, "the deadline passed", c.retryAfter(x))...)
+		actions = append(actions, c.cut(x, "the deadline passed")...)
 	}
 	return actions
 }
+
+// cut ends an exchange that may still run.
+func (c *Core) cut(x *exchange, reason string) []Action {
+	cancel := Action{Cancel: &Cancel{ID: x.request.ID, Attempt: x.request.Attempt}}
+	outcome := call.OutcomeFailed
+	if x.request.Key != "" || x.request.Lookup {
+		outcome = call.OutcomeUnknown
+	}
+	return append([]Action{cancel}, c.finish(x, http.StatusGatewayTimeout, outcome, reason, c.retryAfter(x))...)
+}
--- a/internal/core/entry/entry_stop.go
+++ b/internal/core/entry/entry_stop.go
@@ -28,6 +28,21 @@
 	return c.updateDrain(now)
 }
 
+// end ends the requests in progress.
+func (c *Core) end(now time.Time) []Action {
+	c.stopping, c.drained = true, true
+	var actions []Action
+	for _, id := range slices.Sorted(maps.Keys(c.exchanges)) {
+		x := c.exchanges[id]
+		if x.delayed != nil {
+			actions = append(actions, c.finish(x, x.delayed.status, x.delayed.outcome, x.delayed.reason, c.retryAfter(x))...)
+			continue
+		}
+		actions = append(actions, c.cut(x, "the entry stops")...)
+	}
+	return actions
+}
+
 // updateDrain sets drained once drainTime has passed, and lets an idle process exit.
 func (c *Core) updateDrain(now time.Time) []Action {
 	c.drained = c.stopping && now.Sub(c.stopTime) >= c.drainTime
--- a/internal/core/entry/event.go
+++ b/internal/core/entry/event.go
@@ -31,6 +31,8 @@
 	Configuration *configuration.Configuration
 	// Stop is a request to shut down gracefully.
 	Stop *Stop
+	// End reports that the process ends now.
+	End *End
 	// Tick runs timeouts and periodic work.
 	Tick *Tick
 }
@@ -95,6 +97,9 @@
 // Stop requests a graceful shutdown.
 type Stop struct{}
 
+// End ends all requests in progress with an answer.
+type End struct{}
+
 // Tick runs timeouts and periodic work.
 type Tick struct{}
 
--- a/internal/core/slot/event.go
+++ b/internal/core/slot/event.go
@@ -173,7 +173,10 @@
 }
 
 // Stop requests a graceful shutdown.
-type Stop struct{}
+type Stop struct {
+	// Until is when the process ends in any case; zero means never.
+	Until time.Time
+}
 
 // Tick runs timeouts and periodic work.
 type Tick struct{}
--- a/internal/core/slot/slot.go
+++ b/internal/core/slot/slot.go
@@ -156,7 +156,7 @@
 	case e.Configuration != nil:
 		return c.configure(now, e.Configuration)
 	case e.Stop != nil:
-		return c.stop(now)
+		return c.stop(now, e.Stop.Until)
 	case e.Tick != nil:
 		return c.tick(now)
 	}
@@ -283,11 +283,12 @@
 }
 
 // stop begins a graceful shutdown.
-func (c *Core) stop(now time.Time) []Action {
+func (c *Core) stop(now, until time.Time) []Action {
 	if c.stopAnnounced.IsZero() {
 		c.stopAnnounced = now
 	}
 	actions := append(c.transition("stop"), c.startHandover(now)...)
+	actions = append(actions, c.endBy(now, until)...)
 	return append(actions, c.exitWhenIdle(now)...)
 }
 
--- a/internal/core/slot/slot_admission.go
+++ b/internal/core/slot/slot_admission.go
@@ -96,6 +96,17 @@
 	return actions
 }
 
+// endBy refuses the queued jobs that cannot be answered by a time, and bounds the others; zero means no bound.
+func (c *Core) endBy(now, until time.Time) []Action {
+	if until.IsZero() {
+		return nil
+	}
+	for _, id := range c.queue.Limit(until) {
+		c.jobs[id].deadline = until
+	}
+	return c.shed(now)
+}
+
 // admit starts queued jobs while the engine has capacity, then sheds the queue.
 func (c *Core) admit(now time.Time) (actions []Action) {
 	for c.running < c.target.Width && c.engineAlive && c.groupAdmits() && c.wish.takes(now) {
--- a/internal/process/entryd/entryd_stop.go
+++ b/internal/process/entryd/entryd_stop.go
@@ -9,6 +9,9 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/process/node"
 )
 
+// closeFraction is the last part of the stop limit, in which the answers to the requests still in progress are written.
+const closeFraction = 0.1
+
 // awaitStop stops the core at the signal to stop. It returns when all answers were written or the stop limit is reached.
 func (p *Process) awaitStop(stop, work context.Context) error {
 	select {
@@ -17,15 +20,20 @@
 	case <-stop.Done():
 	}
 	p.Log.Info("stop", "role", "entry")
-	limit, cancel := context.WithTimeout(work, time.Duration(p.Settings.Stop))
+	stopTime := time.Duration(p.Settings.Stop)
+	limit, cancel := context.WithTimeout(work, stopTime)
 	defer cancel()
 	p.handle(entry.Event{Stop: &entry.Stop{}})
+	end := time.NewTimer(stopTime - time.Duration(closeFraction*float64(stopTime)))
+	defer end.Stop()
 	select {
 	case <-p.exit:
+	case <-end.C:
+		p.logUnfinished()
+		p.handle(entry.Event{End: &entry.End{}})
 	case <-limit.Done():
 	}
 	p.waitForReplies(limit)
-	p.logUnfinished()
 	return nil
 }
 
--- a/internal/process/slotd/slotd_stop.go
+++ b/internal/process/slotd/slotd_stop.go
@@ -7,6 +7,9 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/core/slot"
 )
 
+// closeFraction is the last part of the stop limit, in which no queued request may still run: its answer would not be sent.
+const closeFraction = 0.1
+
 // awaitStop stops the core at the signal to stop. It returns when the core has finished or the stop limit is reached.
 func (p *Process) awaitStop(stop, work context.Context) error {
 	select {
@@ -15,8 +18,9 @@
 	case <-stop.Done():
 	}
 	p.Log.Info("stop", "role", "slot")
-	p.handle(slot.Event{Stop: &slot.Stop{}})
-	timer := time.NewTimer(time.Duration(p.Settings.Stop))
+	stopTime := time.Duration(p.Settings.Stop)
+	p.handle(slot.Event{Stop: &slot.Stop{Until: p.Now().Add(stopTime - time.Duration(closeFraction*float64(stopTime)))}})
+	timer := time.NewTimer(stopTime)
 	defer timer.Stop()
 	select {
 	case <-p.exit:
--- a/internal/proof/failure/drain_test.go
+++ b/internal/proof/failure/drain_test.go
@@ -282,3 +282,23 @@
 		})
 	}
 }
+
+// TestStopLimitAnswersCalls checks that the caller of a call which the stop limit of its entry ends gets an answer that says so.
+func TestStopLimitAnswersCalls(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t, siteOptions{centres: 1, entries: 1, services: 1, delay: 4 * time.Second, editSettings: func(v *settings.Settings) {
+		v.Stop = configuration.Duration(time.Second)
+	}})
+	p := s.processes["entry-c1-0"]
+	key := p.send(request{path: "/v1/holds"}).problem.Key
+	answered := make(chan answer, 1)
+	go func() { answered <- p.send(request{path: "/v1/holds", body: "room 7", key: key}) }()
+	s.await("the call runs", func() bool { return s.keyRuns(key) == 1 })
+	p.signal(syscall.SIGTERM)
+	a := <-answered
+	is.Equal(a.status, http.StatusGatewayTimeout)
+	is.Equal(a.problem.Outcome, "unknown")
+	<-p.done
+	is.Equal(p.command.ProcessState.ExitCode(), 0)
+}
--- a/internal/request/queue/queue.go
+++ b/internal/request/queue/queue.go
@@ -112,6 +112,17 @@
 	q.removeAt(at)
 }
 
+// Limit bounds the deadlines of the waiting items and returns the IDs of those that it has changed.
+func (q *Queue) Limit(deadline time.Time) (changed []string) {
+	for _, v := range q.items {
+		if v.Deadline.After(deadline) {
+			v.Deadline = deadline
+			changed = append(changed, v.ID)
+		}
+	}
+	return changed
+}
+
 // removeAt removes an item and gives its virtual time back to its workspace.
 func (q *Queue) removeAt(at int) {
 	v := q.items[at]
