--- a/internal/edge/mesh/view.go
+++ b/internal/edge/mesh/view.go
@@ -64,6 +64,14 @@
 	return out
 }
 
+// Slots returns the addresses of all slots.
+func (v View) Slots() (out []netip.AddrPort) {
+	for _, c := range v {
+		out = append(out, c.Slots...)
+	}
+	return out
+}
+
 // View returns the live processes: this one, those heard of late, and those that relays named of late.
 func (m *Mesh) View(now time.Time) View {
 	centres := map[string]*Centre{}
--- a/internal/process/gateway/gateway_retry.go
+++ b/internal/process/gateway/gateway_retry.go
@@ -29,9 +29,9 @@
 	// the number of entries that these knew.
 	inherited        bool
 	inheritedEntries int
-	// recordedAt is when the records were last sent to archives, the slots among centreSlots that keep them.
-	recordedAt            time.Time
-	archives, centreSlots []netip.AddrPort
+	// recordedAt is when the records were last sent to archives, those of slots that keep them.
+	recordedAt      time.Time
+	archives, slots []netip.AddrPort
 }
 
 // budget returns the retry budget of a service; mu is held.
@@ -79,7 +79,7 @@
 	return entries
 }
 
-// recordRetries calls sendRecords if it is due; mu is held.
+// recordRetries calls sendRecords if it is due. The records are kept by slots of this data centre, unless it has none; mu is held.
 func (p *Process) recordRetries(now time.Time, view mesh.View) {
 	interval := idleRecordInterval
 	switch {
@@ -91,8 +91,12 @@
 	if now.Sub(p.recordedAt) < interval {
 		return
 	}
-	if slots := view.Centre(p.settings.Load().Centre).Slots; !slices.Equal(slots, p.centreSlots) {
-		p.centreSlots, p.archives = slots, archivesOf(p.settings.Load().Peers, slots)
+	slots := view.Centre(p.settings.Load().Centre).Slots
+	if len(slots) == 0 {
+		slots = view.Slots()
+	}
+	if !slices.Equal(slots, p.slots) {
+		p.slots, p.archives = slots, archivesOf(p.settings.Load().Peers, slots)
 	}
 	p.sendRecords(now)
 }
@@ -122,7 +126,7 @@
 	return false
 }
 
-// archivesOf returns the slots, of those of its data centre, that keep the records of the entry at an address.
+// archivesOf returns the slots that keep the records of the entry at an address.
 func archivesOf(address netip.AddrPort, slots []netip.AddrPort) (out []netip.AddrPort) {
 	names, addresses := make([]string, len(slots)), map[string]netip.AddrPort{}
 	for i, a := range slots {
--- a/internal/process/gateway/gateway_stop.go
+++ b/internal/process/gateway/gateway_stop.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -16,6 +17,8 @@
 	balancerGrace = 2500 * time.Millisecond
 	// balancerFraction is the largest part of the grace period for that.
 	balancerFraction = 0.35
+	// defaultGrace is the grace period if the settings have none.
+	defaultGrace = 8 * time.Second
 	// stopFraction is the part of the grace period that a stop may take.
 	stopFraction = 0.94
 	// closeTime is the part of a stop in which the last answers are written.
@@ -85,18 +88,16 @@
 		return nil
 	case <-signal.Done():
 	}
-	began := p.Now()
+	began, grace := p.Now(), cmp.Or(p.settings.Load().Grace, defaultGrace)
 	p.stopping.Store(true)
-	p.Log.Info("stop", "step", "not ready", "grace", p.settings.Load().Grace)
-	grace := p.settings.Load().Grace
+	p.Log.Info("stop", "step", "not ready", "grace", grace)
 	stopTime := time.Duration(stopFraction * float64(grace))
 	p.limitRequests(began.Add(stopTime - closeTime))
 	node.Pause(work, min(balancerGrace, time.Duration(balancerFraction*float64(grace))))
 	p.rejecting.Store(true)
 	p.Log.Info("stop", "step", "closing connections")
 	defer time.AfterFunc(stopTime-closeTime-p.Now().Sub(began), p.end).Stop()
-	timeout := stopTime - p.Now().Sub(began)
-	ctx, done := context.WithTimeout(work, timeout)
+	ctx, done := context.WithTimeout(work, stopTime-p.Now().Sub(began))
 	defer done()
 	err := callers.Shutdown(ctx)
 	p.Log.Info("stop", "step", "end", "took", p.Now().Sub(began), "error", err)
