--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -125,7 +125,7 @@
 	case e.Stop != nil:
 		return c.stop(now)
 	case e.End != nil:
-		return c.end(now)
+		return c.end()
 	case e.Tick != nil:
 		return c.tick(now)
 	}
--- a/internal/core/entry/entry_stop.go
+++ b/internal/core/entry/entry_stop.go
@@ -29,7 +29,7 @@
 }
 
 // end ends the requests in progress.
-func (c *Core) end(now time.Time) []Action {
+func (c *Core) end() []Action {
 	c.stopping, c.drained = true, true
 	var actions []Action
 	for _, id := range slices.Sorted(maps.Keys(c.exchanges)) {
