--- a/internal/fleet/settings/settings_keys.go
+++ b/internal/fleet/settings/settings_keys.go
@@ -15,6 +15,6 @@
 	{Path: "beat", Doc: "Time between heartbeats.", Unit: "duration", Default: "250ms", Min: "10ms", Max: "10s", Example: `"250ms"`},
 	{Path: "ping", Doc: "Time without a sign of life after which a connection counts as silent.", Unit: "duration", Default: "500ms", Min: "20ms", Max: "1m", Example: `"500ms"`},
 	{Path: "drain", Doc: "Time that a stopping process goes on announcing that it leaves.", Unit: "duration", Default: "2s", Min: "1ms", Max: "10m", Example: `"2s"`},
-	{Path: "stop", Doc: "Longest time that a stop waits for requests in progress; what it cuts is logged.", Unit: "duration", Default: "1m", Min: "1ms", Max: "24h", Example: `"1m"`},
+	{Path: "stop", Doc: "Longest time that a stop waits for requests in progress. In its last tenth the rest is answered with an error; what it cuts is logged.", Unit: "duration", Default: "1m", Min: "1ms", Max: "24h", Example: `"1m"`},
 	{Path: "body", Doc: "Largest body of a caller's request.", Unit: "bytes", Default: "1048576", Min: "1", Max: "67108864", Example: "1048576"},
 }
