Keep the reserve of retries where no slots keep the counts

An entry that sees no slots has the parts that it had before the counts were kept: half at once, and 0.6 for a process that starts.

--- a/internal/edge/budget/budget.go
+++ b/internal/edge/budget/budget.go
@@ -11,21 +11,33 @@
 	// windowBuckets is the number of buckets in a window. Retries are kept for one more, since the newest bucket is not full.
 	windowBuckets = 20
 	buckets       = windowBuckets + 1
-	// ratioFraction and slackFraction are the parts of the bound's Ratio and Slack that an entry may use.
-	ratioFraction = 0.8
-	slackFraction = 0.55
-	// youngRatioFraction and youngSlackFraction are the parts of a process that has run for less than a window and does not know what the
-	// one before it at the same address has sent. That one, and several like it in a row, may have used their parts in the same window.
-	youngRatioFraction = 0.2
-	youngSlackFraction = 0.08
 	// unrecordedFraction is the part of the retries allowed in a window after which they are to be recorded at once. The next process does
 	// not learn of those that were not.
 	unrecordedFraction = 0.1
 )
 
+// parts are the parts of the bound that an entry may use.
+type parts struct {
+	// ratio and slack are those of the bound's Ratio and Slack.
+	ratio, slack float64
+	// burst is the part of these that may be used at once. The rest becomes usable evenly over a window.
+	burst float64
+	// youngRatio and youngSlack are those of a process that has run for less than a window and does not know what the one before it at
+	// the same address has sent. That one, and several like it in a row, may have used their parts in the same window.
+	youngRatio, youngSlack float64
+}
+
+// archivedParts apply while slots keep the counts for the next process, which thus rarely lacks them, and plainParts otherwise.
+var (
+	archivedParts = parts{ratio: 0.8, slack: 0.55, burst: 1, youngRatio: 0.2, youngSlack: 0.08}
+	plainParts    = parts{ratio: 0.8, slack: 0.6, burst: 0.5, youngRatio: 0.6, youngSlack: 0.1}
+)
+
 // Budget counts the requests and retries of one service at one entry. It is not safe for concurrent use.
 type Budget struct {
 	site.RetryBound
+	// Archived is set while slots keep the counts for the next process.
+	Archived bool
 	// startedAt is when the process started.
 	startedAt time.Time
 	// requests and retries are counts by bucket; current is the index of the current bucket.
@@ -86,14 +98,34 @@
 	if entries > 0 {
 		slack = b.Slack / float64(entries)
 	}
-	ratioPart, slackPart := ratioFraction, slackFraction
+	use := plainParts
+	if b.Archived {
+		use = archivedParts
+	}
 	if !b.inherited && now.Sub(b.startedAt) < b.Window {
-		ratioPart, slackPart = youngRatioFraction, youngSlackFraction
+		a.Allowed = use.youngRatio*b.Ratio*float64(a.Requests) + use.youngSlack*slack
+		return a
 	}
-	a.Allowed = ratioPart*b.Ratio*float64(a.Requests) + slackPart*slack
+	a.Allowed = b.spread(use.ratio*b.Ratio*float64(a.Requests)+use.slack*slack, use.burst)
 	return a
 }
 
+// spread returns how many of the retries that are allowed in a window may have been sent by now: in the latest buckets, however many
+// these are, at most the part of a burst and their part of the rest.
+func (b *Budget) spread(allowed, burst float64) float64 {
+	total := 0
+	for _, n := range b.retries {
+		total += n
+	}
+	most, recent := allowed, 0
+	for age := range buckets {
+		recent += b.retries[(b.current+buckets-age)%buckets]
+		part := burst + (1-burst)*min(float64(age)/windowBuckets, 1)
+		most = min(most, part*allowed+float64(total-recent))
+	}
+	return most
+}
+
 // AllowRetry reports whether a retry may be sent and counts it if so. Entries is as in Account.
 func (b *Budget) AllowRetry(now time.Time, entries int) bool {
 	a := b.Account(now, entries)
--- a/internal/edge/budget/budget_test.go
+++ b/internal/edge/budget/budget_test.go
@@ -1,7 +1,6 @@
 package budget
 
 import (
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"net/netip"
@@ -98,12 +97,12 @@
 		{"630 entries", 630, 75, largeBound, killed - tick, 0.8, 3 * time.Second, 3},
 	}
 	for _, v := range tests {
-		for _, archived := range []bool{true, false} {
-			t.Run(fmt.Sprintf("%s/archived=%t", v.name, archived), func(t *testing.T) {
+		for _, records := range []records{kept, lost, none} {
+			t.Run(v.name+"/records "+string(records), func(t *testing.T) {
 				is := is.New(t)
 				for seed := range uint64(3) {
 					start := time.Unix(1_700_000_000, 0)
-					w := newFleet(start, seed, v.entries, v.bound, archived)
+					w := newFleet(start, seed, v.entries, v.bound, records)
 					var requests, retries []int
 					kills := 0
 					for elapsed := time.Duration(0); elapsed < time.Minute; elapsed += tick {
@@ -125,15 +124,24 @@
 	}
 }
 
-// fleet is a number of entries whose records are archived or lost. An entry records its retries each recordTime, or at once if they are
+// records says what becomes of the records of a fleet: slots keep them, slots keep them and end with the entries, or there are no slots.
+type records string
+
+const (
+	kept records = "kept"
+	lost records = "lost"
+	none records = "none"
+)
+
+// fleet is a number of entries. An entry records its retries each recordTime, or at once if they are
 // many, and learns of those of the process before it learnTime after its start.
 type fleet struct {
-	random   *rand.Rand
-	bound    site.RetryBound
-	archive  *Archive
-	archived bool
-	budgets  []*Budget
-	starts   []time.Time
+	random  *rand.Rand
+	bound   site.RetryBound
+	archive *Archive
+	records records
+	budgets []*Budget
+	starts  []time.Time
 	// incarnations counts the processes of each entry.
 	incarnations []uint64
 	recordedAt   []time.Time
@@ -141,9 +149,9 @@
 
 const recordTime, learnTime = 200 * time.Millisecond, 300 * time.Millisecond
 
-func newFleet(now time.Time, seed uint64, entries int, bound site.RetryBound, archived bool) *fleet {
+func newFleet(now time.Time, seed uint64, entries int, bound site.RetryBound, records records) *fleet {
 	w := &fleet{
-		random: rand.New(rand.NewPCG(1, seed)), bound: bound, archive: NewArchive(), archived: archived,
+		random: rand.New(rand.NewPCG(1, seed)), bound: bound, archive: NewArchive(), records: records,
 		budgets: make([]*Budget, entries), starts: make([]time.Time, entries), incarnations: make([]uint64, entries), recordedAt: make([]time.Time, entries),
 	}
 	for i := range entries {
@@ -155,6 +163,7 @@
 
 func (w *fleet) restart(now time.Time, i int) {
 	w.budgets[i], w.starts[i] = New(w.bound, now), now
+	w.budgets[i].Archived = w.records != none
 	w.incarnations[i]++
 }
 
@@ -181,7 +190,7 @@
 	b, age := w.budgets[i], now.Sub(w.starts[i])
 	w.recordedAt[i] = now
 	r := b.Record(now)
-	if !w.archived || age < learnTime {
+	if w.records != kept || age < learnTime {
 		return
 	}
 	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i % 250)}), 7000)
@@ -200,7 +209,7 @@
 	var retries [2]int
 	for i, restart := range []bool{false, true} {
 		start := time.Unix(1_700_000_000, 0)
-		w := newFleet(start, 2, entries, bound, true)
+		w := newFleet(start, 2, entries, bound, kept)
 		for elapsed := time.Duration(0); elapsed < killed+4*time.Second; elapsed += tick {
 			now := start.Add(elapsed)
 			for n := range entries {
@@ -256,8 +265,8 @@
 		for from := 0; from+width <= len(retries); from++ {
 			most = max(most, sumWindow(retries, from, width))
 		}
-		is.True(float64(most) <= slackFraction*smallBound.Slack)
-		is.True(float64(most) > slackFraction*smallBound.Slack-3)
+		is.True(float64(most) <= plainParts.slack*smallBound.Slack)
+		is.True(float64(most) > plainParts.slack*smallBound.Slack-3)
 	}
 }
 
--- a/internal/process/gateway/gateway_retry.go
+++ b/internal/process/gateway/gateway_retry.go
@@ -39,6 +39,7 @@
 	b := p.budgets[service]
 	if b == nil {
 		b = budget.New(p.settings.Load().Retries, p.started)
+		b.Archived = len(p.archives) > 0
 		if p.inherited {
 			b.Inherit(now, budget.Record{})
 		}
@@ -79,7 +80,7 @@
 	return entries
 }
 
-// recordRetries calls sendRecords if it is due. The records are kept by slots of this data centre, unless it has none; mu is held.
+// recordRetries sends the records if it is due; mu is held.
 func (p *Process) recordRetries(now time.Time, view mesh.View) {
 	interval := idleRecordInterval
 	switch {
@@ -91,14 +92,23 @@
 	if now.Sub(p.recordedAt) < interval {
 		return
 	}
+	p.followArchives(view)
+	p.sendRecords(now)
+}
+
+// followArchives chooses the slots that keep the records: those of this data centre, unless it has none; mu is held.
+func (p *Process) followArchives(view mesh.View) {
 	slots := view.Centre(p.settings.Load().Centre).Slots
 	if len(slots) == 0 {
 		slots = view.Slots()
 	}
-	if !slices.Equal(slots, p.slots) {
-		p.slots, p.archives = slots, archivesOf(p.settings.Load().Peers, slots)
+	if slices.Equal(slots, p.slots) {
+		return
+	}
+	p.slots, p.archives = slots, archivesOf(p.settings.Load().Peers, slots)
+	for _, b := range p.budgets {
+		b.Archived = len(p.archives) > 0
 	}
-	p.sendRecords(now)
 }
 
 // sendRecords sends what was counted of the retries to the slots that keep it for the next process at this address; mu is held.
