--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -76,9 +76,9 @@
 }
 
 // record returns the engine's record in the store.
-func (e *engine) record(state string) map[string]any {
+func (e *engine) record() map[string]any {
 	return map[string]any{
-		"service": e.service, "addr": e.address, "zone": e.zone, "version": "v1", "slots": e.slots, "state": state, "coldLeftMs": 0, "seq": 1,
+		"service": e.service, "addr": e.address, "zone": e.zone, "version": "v1", "slots": e.slots, "state": "ready", "coldLeftMs": 0, "seq": 1,
 	}
 }
 
--- a/review/rig/system.go
+++ b/review/rig/system.go
@@ -107,11 +107,11 @@
 }
 
 // addEntry adds an entry in a data centre and writes its settings.
-func (w *world) addEntry(zone string) (*entry, error) {
+func (w *world) addEntry(zone string) error {
 	e := &entry{name: fmt.Sprintf("front-%s-%d", zone, len(w.entries)+1), ip: w.nextIP(), zone: zone}
 	e.settings = filepath.Join(w.folder, e.name+".toml")
 	w.entries = append(w.entries, e)
-	return e, w.editSettings(e, func(text string) string { return text })
+	return w.editSettings(e, func(text string) string { return text })
 }
 
 // editSettings writes the settings of an entry with a change.
