Review: the change of a route comes right after a full read

Cause: the change fell at any time between two full reads, and the case showed 6 to 9 late requests, once none.

--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -62,6 +62,15 @@
 	mu      sync.Mutex
 	// refuses is set while all calls are answered with 503.
 	refuses bool
+	// listedAt is when the records were last listed.
+	listedAt time.Time
+}
+
+// listed returns when the machines of a door last listed the records.
+func (d *door) listed() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listedAt
 }
 
 // refuse makes the store turn the machines of a door away with 503, or ends that.
@@ -85,6 +94,9 @@
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		d.mu.Lock()
 		refuses := d.refuses
+		if strings.HasSuffix(r.URL.Path, "/kv-range") {
+			d.listedAt = time.Now()
+		}
 		d.mu.Unlock()
 		if refuses {
 			w.WriteHeader(http.StatusServiceUnavailable)
