End what watches without an answer keep of removed targets

Requests reached a target that had left for as long as the store kept watches without an answer, though it answered all other calls: 68 requests at one entry and 39 at nine in the seven seconds after the shortest drain time.

A watch that runs into its time limit counted as a failed read, so the full read 1.3 s later ended what looked like an outage of a heartbeat, and its two seconds of grace began anew each time. Nothing bounded the grace of outages that follow one another either.

An outage is now a time without any answer, whichever calls failed in it; after a watch without an answer everything is read at once, which takes less than a heartbeat. Whatever the outages, a missing target stays for two seconds of the time in which the store could be read, as the platform promises that a target that runs is back by then. Calls of the store stay 0.3 s apart on average.

Failed before: TestFailingWatchesHoldNoRemovalBack, two of 23 cases ("one entry, silent", "9 entries, silent"); it contains the cases of TestCutWatchesHoldNoRemovalBack, over three data centres, and new ones: one reader of several that is cut, silent or refused, and entries in turn. TestOutage, "outages that follow one another" (the target stayed to the end).

--- a/internal/edge/target/outage.go
+++ b/internal/edge/target/outage.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/site"
@@ -13,18 +14,34 @@
 type outage struct {
 	// MinOutage is the least time for which the store fails when a record lapses.
 	MinOutage time.Duration
-	// failingSince is the start of the first read that failed since the latest one that did not; zero if that is the latest one.
-	failingSince time.Time
-	// endedAt is the end of the latest outage. It moves only once the store has failed for MinOutage again.
+	// answeredAt is the time of the latest read, and failing is set if a call has failed since.
+	answeredAt time.Time
+	failing    bool
+	// unreadSince is the start of the first full read that has failed since answeredAt, or zero.
+	unreadSince time.Time
+	// readable is the time for which the store could be read so far, and missing its value at the first list without a target, by ID.
+	readable time.Duration
+	missing  map[string]time.Duration
+	// endedAt is the end of the latest outage.
 	endedAt time.Time
 	// withdrawn holds when records were last removed while the store could be read, by target ID.
 	withdrawn map[string]time.Time
 }
 
-// MarkStoreLost records that a read of the store that began at a time has failed; the known targets stay in use.
+func newOutage() outage {
+	return outage{missing: map[string]time.Duration{}, withdrawn: map[string]time.Time{}}
+}
+
+// MarkWatchLost records that a watch has failed. Whether the store can be read shows the next read.
+func (o *outage) MarkWatchLost() {
+	o.failing = true
+}
+
+// MarkStoreLost records that a full read of the store that began at a time has failed; the known targets stay in use.
 func (o *outage) MarkStoreLost(began time.Time) {
-	if o.failingSince.IsZero() {
-		o.failingSince = began
+	o.failing = true
+	if o.unreadSince.IsZero() {
+		o.unreadSince = began
 	}
 }
 
@@ -47,12 +64,14 @@
 	}
 }
 
-// endFailure records that the store was read.
-func (o *outage) endFailure(now time.Time) {
-	if !o.failingSince.IsZero() && now.Sub(o.failingSince) >= o.MinOutage {
+// noteRead records that the store was read. There was an outage if it has not answered for MinOutage, whichever calls failed.
+func (o *outage) noteRead(now time.Time) {
+	before := cmp.Or(o.answeredAt, o.unreadSince, now)
+	if o.failing && now.Sub(before) >= o.MinOutage {
 		o.endedAt = now
 	}
-	o.failingSince = time.Time{}
+	o.readable += max(cmp.Or(o.unreadSince, now).Sub(before), 0)
+	o.answeredAt, o.failing, o.unreadSince = now, false, time.Time{}
 	for id, at := range o.withdrawn {
 		if now.Sub(at) >= outageGrace {
 			delete(o.withdrawn, id)
@@ -60,9 +79,25 @@
 	}
 }
 
-// keeps reports whether a target stays although it is missing from a list.
+// keeps reports whether a target stays although it is missing from a list. Outages that follow one another keep it no longer than
+// outageGrace without the time in which the store could not be read: a target that runs writes its record in that time.
 func (o *outage) keeps(now time.Time, id string) bool {
-	return now.Sub(o.endedAt) < outageGrace && o.withdrawn[id].IsZero()
+	at, ok := o.missing[id]
+	return now.Sub(o.endedAt) < outageGrace && o.withdrawn[id].IsZero() && (!ok || o.readable-at < outageGrace)
+}
+
+// noteMissing records which members are missing from the latest list.
+func (o *outage) noteMissing(members map[string]*Member, listed map[string]bool) {
+	for id := range o.missing {
+		if members[id] == nil || listed[id] {
+			delete(o.missing, id)
+		}
+	}
+	for id := range members {
+		if _, ok := o.missing[id]; !ok && !listed[id] {
+			o.missing[id] = o.readable
+		}
+	}
 }
 
 // Kept returns the targets that stay after an outage although a list lacks them.
--- a/internal/edge/target/outage_test.go
+++ b/internal/edge/target/outage_test.go
@@ -36,6 +36,8 @@
 		{"one failed read each 0.3 s", each(300*time.Millisecond, interval), false, 0, interval},
 		{"one failed read each second", each(time.Second, interval), false, 0, interval},
 		{"one failed read each two seconds", each(2*time.Second, interval), false, 0, interval},
+		// The store can be read for half a second of each three, up to the first of four such times the removal is not read at all.
+		{"outages that follow one another", each(3*time.Second, 2500*time.Millisecond), false, outageGrace, 2500*time.Millisecond + 4*3*time.Second},
 		{"failed reads after an outage", func(at time.Duration) bool {
 			return during(7*time.Second, 10*time.Second)(at) || each(time.Second, interval)(at)
 		}, false, outageGrace, outageGrace + 2*interval},
@@ -71,3 +73,35 @@
 		})
 	}
 }
+
+// TestLostWatchesAreNoOutage plays full reads that follow watches without an answer. They keep a missing target for no longer than an
+// outage does, even where the store does not answer for so long that records may have lapsed meanwhile.
+func TestLostWatchesAreNoOutage(t *testing.T) {
+	for _, v := range []struct {
+		name           string
+		interval, most time.Duration
+	}{
+		{"shorter than the least outage", time.Second, 0},
+		{"as long as the least outage", 1200 * time.Millisecond, outageGrace + 1200*time.Millisecond},
+		{"longer", 3 * time.Second, outageGrace + 3*time.Second},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			is := is.New(t)
+			r := NewRegistry()
+			r.MinOutage = 1200 * time.Millisecond
+			one, two := testTarget("1", 1, false), testTarget("2", 1, false)
+			now := start
+			r.Apply(now, []site.Target{one, two})
+			for stayed := time.Duration(0); ; stayed += v.interval {
+				now = now.Add(v.interval)
+				r.MarkWatchLost()
+				r.Apply(now, []site.Target{one})
+				if r.Available("holds") == 1 {
+					is.True(stayed <= v.most) // stayed
+					break
+				}
+				is.True(stayed < time.Minute)
+			}
+		})
+	}
+}
--- a/internal/edge/target/target.go
+++ b/internal/edge/target/target.go
@@ -86,7 +86,7 @@
 
 // NewRegistry returns an empty Registry.
 func NewRegistry() *Registry {
-	return &Registry{members: map[string]*Member{}, services: map[string][]*Member{}, hashes: map[uint32]*Member{}, wishes: map[uint32]wish{}, reach: map[string]*centreReach{}, slowGroups: map[uint32]bool{}, colds: map[uint32]*coldness{}, otherLoads: map[uint32]int{}, outage: outage{withdrawn: map[string]time.Time{}}}
+	return &Registry{members: map[string]*Member{}, services: map[string][]*Member{}, hashes: map[uint32]*Member{}, wishes: map[uint32]wish{}, reach: map[string]*centreReach{}, slowGroups: map[uint32]bool{}, colds: map[uint32]*coldness{}, otherLoads: map[uint32]int{}, outage: newOutage()}
 }
 
 // Hash returns a 32-bit identifier of an incarnation.
@@ -97,7 +97,7 @@
 // Apply replaces the targets by a complete list from the store and returns the changes.
 // Missing targets are removed, except within outageGrace after an outage of the store, where only withdrawn ones are.
 func (r *Registry) Apply(now time.Time, list []site.Target) (changes []Change) {
-	r.endFailure(now)
+	r.noteRead(now)
 	listed := map[string]bool{}
 	latest := latestByAddress(list)
 	for _, t := range list {
@@ -110,6 +110,7 @@
 		r.learnCold(now, &t, r.listed)
 	}
 	r.listed = true
+	r.noteMissing(r.members, listed)
 	for id, m := range r.members {
 		replaced := latest[m.Address] > m.Created
 		if listed[id] || !replaced && r.keeps(now, id) {
@@ -117,6 +118,7 @@
 		}
 		delete(r.members, id)
 		delete(r.withdrawn, id)
+		delete(r.missing, id)
 		changes = append(changes, Change{Event: "gone", Member: *m})
 	}
 	if len(changes) > 0 {
--- a/internal/process/gateway/gateway_follow.go
+++ b/internal/process/gateway/gateway_follow.go
@@ -60,6 +60,8 @@
 	colds map[string]coldRecord
 	// reachable is false after a failed read.
 	reachable bool
+	// dueAt is the time from which the next call may be made.
+	dueAt time.Time
 }
 
 func newStoreState() *storeState {
@@ -69,6 +71,16 @@
 	}
 }
 
+// pace returns the time until which the call after one that began at a time waits. Calls are minWatchInterval apart on average, and
+// one that follows a longer call waits less.
+func (s *storeState) pace(began time.Time) time.Time {
+	if earliest := began.Add(-minWatchInterval); s.dueAt.Before(earliest) {
+		s.dueAt = earliest
+	}
+	s.dueAt = s.dueAt.Add(minWatchInterval)
+	return s.dueAt
+}
+
 var (
 	// errRolledBack reports that the store has older contents than before, as after a recovery.
 	errRolledBack = errors.New("the store has older contents than before")
@@ -175,32 +187,38 @@
 // readStore reads what has changed in the store and tells the members about it if this entry is a relay.
 func (p *Process) readStore(ctx context.Context, s *storeState) {
 	began := p.Now()
+	due := s.pace(began)
 	startedAt, ok := p.Boot.Now()
 	if p.unknown.Load() {
 		// Requests wait to learn which targets have become cold in a pause; a watch would wait for a change.
 		s.revision = 0
 	}
-	err := p.syncOnce(ctx, s)
+	full := p.readsAll(s)
+	err := p.syncOnce(ctx, s, full)
 	switch {
 	case errors.Is(err, site.ErrCompacted), errors.Is(err, errRolledBack), errors.Is(err, errWatchLost):
 		p.Log.Info("store is read anew", "reason", err)
 		p.Store.Close()
 		s.revision = 0
-		node.Pause(ctx, minWatchInterval-p.Now().Sub(began))
+		node.Pause(ctx, due.Sub(p.Now()))
 		return
 	case err != nil:
 		p.Store.Close()
-		p.markStoreLost(began)
+		p.markStoreLost(began, full)
 		// The same watch might fail again.
 		s.revision = 0
 		if s.reachable {
 			p.Log.Warn("store lost", "error", err, "version", p.version())
 		}
 		s.reachable = false
-		if p.readsAfterPause(s) {
-			return
+		switch {
+		case p.readsAfterPause(s):
+		case full:
+			node.Pause(ctx, retryDelay)
+		default:
+			// After a watch without an answer the next read must show at once whether the store is lost.
+			node.Pause(ctx, retryDelay-p.Now().Sub(began))
 		}
-		node.Pause(ctx, retryDelay)
 		return
 	case !s.reachable:
 		p.Log.Info("store regained", "version", p.version())
@@ -212,17 +230,21 @@
 		// The configuration is confirmed as of the start of the read.
 		p.confirmRead(startedAt, s.targets, centres)
 	}
-	node.Pause(ctx, minWatchInterval-p.Now().Sub(began))
+	node.Pause(ctx, due.Sub(p.Now()))
 }
 
-// markStoreLost records that a read that began at a time could not read the store, unless relays can read it.
-func (p *Process) markStoreLost(began time.Time) {
+// markStoreLost records that a full read or a watch that began at a time has failed, unless relays can read the store.
+func (p *Process) markStoreLost(began time.Time, full bool) {
 	now, ok := p.Boot.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.blind = true
-	if p.mesh.IsReader(p.Now(), p.blind) || !ok || now-p.targetsAt > maxRelayedAge {
+	switch {
+	case !p.mesh.IsReader(p.Now(), p.blind) && ok && now-p.targetsAt <= maxRelayedAge:
+	case full:
 		p.registry.MarkStoreLost(began)
+	default:
+		p.registry.MarkWatchLost()
 	}
 }
 
@@ -249,9 +271,14 @@
 	}
 }
 
-// syncOnce reads everything if a full read is due, and otherwise waits for a change.
-func (p *Process) syncOnce(ctx context.Context, s *storeState) error {
-	if s.revision == 0 || s.listsCentres != p.evacuates() || p.Now().Sub(s.lastFullRead) > p.rereadInterval() {
+// readsAll reports whether a full read is due.
+func (p *Process) readsAll(s *storeState) bool {
+	return s.revision == 0 || s.listsCentres != p.evacuates() || p.Now().Sub(s.lastFullRead) > p.rereadInterval()
+}
+
+// syncOnce reads everything, or waits for a change.
+func (p *Process) syncOnce(ctx context.Context, s *storeState, full bool) error {
+	if full {
 		return p.readAll(ctx, s)
 	}
 	return p.watch(ctx, s)
--- a/internal/proof/edge/rig_test.go
+++ b/internal/proof/edge/rig_test.go
@@ -72,7 +72,6 @@
 	*entry
 	t       *testing.T
 	store   *store
-	address netip.AddrPort
 	targets []*target
 	entries []*entry
 	// timeoutMs is the time limit of requests in the next configuration; zero for two seconds.
@@ -106,6 +105,9 @@
 	ended chan struct{}
 	// storeCut is set while the entry can't reach the store.
 	storeCut atomic.Bool
+	// link is its path to the store at storeAddress.
+	link         *storeLink
+	storeAddress netip.AddrPort
 	// frozen is locked while the entry is frozen: it stops wherever it reads the clock.
 	frozen sync.RWMutex
 }
@@ -170,9 +172,6 @@
 func (r *rig) startSite(t *testing.T, entries int, revoke time.Duration, handlers ...http.HandlerFunc) {
 	t.Helper()
 	r.t, r.store = t, &store{values: map[string]json.RawMessage{}, created: map[string]int64{}}
-	storeServer := httptest.NewServer(r.store)
-	t.Cleanup(storeServer.Close)
-	r.address = netip.MustParseAddrPort(storeServer.Listener.Addr().String())
 	r.configure(1, testKey)
 	for i, handle := range handlers {
 		x := &target{id: fmt.Sprintf("i-%d", i), number: i, born: 1, handle: handle}
@@ -214,6 +213,10 @@
 	if r.edit != nil {
 		r.edit(number, e.settings)
 	}
+	e.link = &storeLink{store: r.store}
+	server := httptest.NewServer(e.link)
+	r.t.Cleanup(server.Close)
+	e.storeAddress = netip.MustParseAddrPort(server.Listener.Addr().String())
 	r.entries = append(r.entries, e)
 	return e
 }
@@ -230,7 +233,7 @@
 		Codec: gateway.Codec{
 			DecodeCall: platform.DecodeCall, DecodeKey: platform.DecodeKey, NewRequest: platform.NewRequest, DecodeAnswer: platform.DecodeAnswer, SetAttemptID: platform.SetAttemptID,
 		},
-		Store: e.cuttableStore(platform.NewStore(r.address)),
+		Store: e.cuttableStore(platform.NewStore(e.storeAddress)),
 		Log:   cmp.Or(r.log, slog.New(slog.DiscardHandler)), Random: rand.New(rand.NewPCG(1, uint64(time.Now().UnixNano()))), Now: e.now, Boot: boot,
 		Reachable: func(address netip.AddrPort) bool {
 			distance := int(address.Addr().As4()[2]) - int(e.settings.Peers.Addr().As4()[2])
--- a/internal/proof/edge/store_test.go
+++ b/internal/proof/edge/store_test.go
@@ -29,8 +29,6 @@
 	calls atomic.Int64
 	// delay is the time in nanoseconds by which each call is answered late.
 	delay atomic.Int64
-	// cutInterval is the time in nanoseconds between two cuts of all watches that wait, or zero.
-	cutInterval atomic.Int64
 	// evacuationLists counts the lists of evacuated data centres.
 	evacuationLists atomic.Int64
 }
@@ -88,7 +86,34 @@
 	s.values[key] = json.RawMessage(fmt.Sprintf(`{"key":%q,"rev":%d,"tombstone":true}`, key, s.revision))
 }
 
-func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// storeLink is the path of one entry to the store.
+type storeLink struct {
+	*store
+	// cutInterval is the time in nanoseconds between two cuts of the entry's watches that wait, or zero.
+	cutInterval atomic.Int64
+	// silent keeps the entry's watches without an answer, and refused makes them fail with a status.
+	silent, refused atomic.Bool
+	// watches counts the watches.
+	watches atomic.Int64
+}
+
+func (l *storeLink) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasSuffix(r.URL.Path, "/kv-watch") {
+		l.watches.Add(1)
+		switch {
+		case l.silent.Load():
+			<-r.Context().Done()
+			return
+		case l.refused.Load():
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+	}
+	l.serve(w, r, time.Duration(l.cutInterval.Load()))
+}
+
+// serve answers a call; the watches among them are cut at an interval unless it is zero.
+func (s *store) serve(w http.ResponseWriter, r *http.Request, cutInterval time.Duration) {
 	s.calls.Add(1)
 	time.Sleep(time.Duration(s.delay.Load()))
 	if s.unavailable.Load() {
@@ -120,7 +145,7 @@
 		}
 		reply(w, map[string]any{"items": items, "hasMore": false, "asOf": s.revision})
 	case "kv-watch":
-		s.watch(w, query.Get("prefix"), query.Get("after"), query.Get("waitMs"))
+		s.watch(w, query.Get("prefix"), query.Get("after"), query.Get("waitMs"), cutInterval)
 	}
 }
 
@@ -133,10 +158,10 @@
 	_, _ = w.Write(data)
 }
 
-func (s *store) watch(w http.ResponseWriter, prefix, after, wait string) {
+func (s *store) watch(w http.ResponseWriter, prefix, after, wait string, cutInterval time.Duration) {
 	from, _ := strconv.ParseInt(after, 10, 64)
 	limit, _ := strconv.Atoi(wait)
-	interval := s.cutInterval.Load()
+	interval := cutInterval.Nanoseconds()
 	for began := time.Now(); ; time.Sleep(5 * time.Millisecond) {
 		if s.unavailable.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/proof/edge/watch_test.go
+++ b/internal/proof/edge/watch_test.go
@@ -9,11 +9,14 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/fleet/site"
 )
 
-// loadAll sends requests to all entries of a rig, ten a second to each, until the returned function is called.
+// loadAll sends requests to all entries of a rig, ten a second to each or a hundred a second in all, until the returned function is called.
 func (r *rig) loadAll(path string) (end func()) {
 	stop := make(chan struct{})
+	interval := max(100*time.Millisecond, time.Duration(len(r.entries))*10*time.Millisecond)
 	var wg sync.WaitGroup
 	for _, e := range r.entries {
 		wg.Go(func() {
@@ -21,7 +24,7 @@
 				select {
 				case <-stop:
 					return
-				case <-time.After(100 * time.Millisecond):
+				case <-time.After(interval):
 					r.callAt(e, "POST", path, nil)
 				}
 			}
@@ -30,29 +33,116 @@
 	return func() { close(stop); wg.Wait() }
 }
 
-// TestCutWatchesHoldNoRemovalBack removes the record of a target, which serves on, while the store cuts all watches that wait again and
-// again. No request may reach the target later than the shortest drain time after that.
-func TestCutWatchesHoldNoRemovalBack(t *testing.T) {
-	const watched = 7 * time.Second
-	for _, entries := range []int{1, 9} {
-		for _, interval := range []time.Duration{300 * time.Millisecond, 500 * time.Millisecond, time.Second, 1500 * time.Millisecond, 2 * time.Second, 3 * time.Second} {
-			t.Run(fmt.Sprintf("%d/%v", entries, interval), func(t *testing.T) {
-				t.Parallel()
-				is := is.New(t)
-				serve := withWarmRoute(serveDone)
-				r := newSite(t, entries, time.Minute, serve, serve, serve)
-				r.store.cutInterval.Store(int64(interval))
-				defer r.loadAll("/once/")()
-				time.Sleep(3 * time.Second)
-				r.store.remove("servers/" + r.targets[0].id)
-				time.Sleep(drainTime)
-				before := r.targets[0].count()
-				time.Sleep(watched)
-				is.Equal(r.targets[0].count()-before, 0) // late requests
-				is.True(r.targets[1].count()+r.targets[2].count() > 0)
-			})
+// reader returns the entry that reads the store most of those of a data centre, measured for some time.
+func (r *rig) reader(centre string) (reader *entry) {
+	before := make([]int64, len(r.entries))
+	for i, e := range r.entries {
+		before[i] = e.link.watches.Load()
+	}
+	time.Sleep(time.Second)
+	most := int64(0)
+	for i, e := range r.entries {
+		if n := e.link.watches.Load() - before[i]; e.settings.Centre == centre && n > most {
+			reader, most = e, n
+		}
+	}
+	return reader
+}
+
+// watchFault disturbs the watches of one entry.
+type watchFault func(l *storeLink)
+
+func cutEach(interval time.Duration) watchFault {
+	return func(l *storeLink) { l.cutInterval.Store(int64(interval)) }
+}
+
+func silence(l *storeLink) { l.silent.Store(true) }
+
+func refuseWatches(l *storeLink) { l.refused.Store(true) }
+
+// cureWatches ends all faults.
+func cureWatches(l *storeLink) {
+	l.cutInterval.Store(0)
+	l.silent.Store(false)
+	l.refused.Store(false)
+}
+
+// TestFailingWatchesHoldNoRemovalBack removes the record of a target, which serves on, while watches that wait fail again and again: they
+// are cut, stay without an answer or are refused. The store answers all other calls. No request may reach the target later than the shortest drain time after that.
+func TestFailingWatchesHoldNoRemovalBack(t *testing.T) {
+	const watched, turn = 7 * time.Second, 700 * time.Millisecond
+	all := func(r *rig, fault watchFault, _ <-chan struct{}) {
+		for _, e := range r.entries {
+			fault(e.link)
 		}
 	}
+	oneReader := func(r *rig, fault watchFault, _ <-chan struct{}) { fault(r.reader("c0").link) }
+	inTurn := func(r *rig, fault watchFault, ended <-chan struct{}) {
+		for i := 0; ; i++ {
+			for _, e := range r.entries {
+				if cureWatches(e.link); e.number%2 == i%2 {
+					fault(e.link)
+				}
+			}
+			select {
+			case <-ended:
+				return
+			case <-time.After(turn):
+			}
+		}
+	}
+	type disturb func(r *rig, fault watchFault, ended <-chan struct{})
+	tests := []struct {
+		name    string
+		entries int
+		disturb disturb
+		fault   watchFault
+	}{
+		{"one entry, silent", 1, all, silence},
+		{"one entry, refused", 1, all, refuseWatches},
+		{"9 entries, silent", 9, all, silence},
+		{"9 entries, refused", 9, all, refuseWatches},
+		{"9 entries, one reader cut", 9, oneReader, cutEach(300 * time.Millisecond)},
+		{"9 entries, one reader cut each second", 9, oneReader, cutEach(time.Second)},
+		{"9 entries, one reader silent", 9, oneReader, silence},
+		{"9 entries, one reader refused", 9, oneReader, refuseWatches},
+		{"9 entries, cut in turn", 9, inTurn, cutEach(300 * time.Millisecond)},
+		{"9 entries, silent in turn", 9, inTurn, silence},
+		{"9 entries, refused in turn", 9, inTurn, refuseWatches},
+	}
+	for _, interval := range []time.Duration{300 * time.Millisecond, 500 * time.Millisecond, time.Second, 1500 * time.Millisecond, 2 * time.Second, 3 * time.Second} {
+		for _, entries := range []int{1, 9} {
+			name := fmt.Sprintf("%d entries, cut each %v", entries, interval)
+			tests = append(tests, struct {
+				name    string
+				entries int
+				disturb disturb
+				fault   watchFault
+			}{name, entries, all, cutEach(interval)})
+		}
+	}
+	for _, v := range tests {
+		t.Run(v.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			serve := withWarmRoute(serveDone)
+			r := newEditedSite(t, v.entries, time.Minute, func(number int, s *site.Settings) { s.Centre = fmt.Sprintf("c%d", number%3) }, serve, serve, serve)
+			time.Sleep(time.Second)
+			ended := make(chan struct{})
+			var wg sync.WaitGroup
+			wg.Go(func() { v.disturb(r, v.fault, ended) })
+			defer wg.Wait()
+			defer close(ended)
+			defer r.loadAll("/once/")()
+			time.Sleep(3 * time.Second)
+			r.store.remove("servers/" + r.targets[0].id)
+			time.Sleep(drainTime)
+			before := r.targets[0].count()
+			time.Sleep(watched)
+			is.Equal(r.targets[0].count()-before, 0) // late requests
+			is.True(r.targets[1].count()+r.targets[2].count() > 0)
+		})
+	}
 }
 
 // TestUnreadableWatchDoesNotStopTheFollower lets an entry that was cut off from the store watch from a revision since which more was
