Tell members which targets were removed when they learn the whole list

After an outage of the store entries that learned the whole list anew kept sending requests to a target that had been removed, for up to 3.7 s after its removal where two seconds are allowed: entries that were frozen, and whose relay froze before it could tell of the removal.

Cause: two things. The whole list did not say which targets were removed of late, so a member could not tell a removal from a record that lapsed; and the end of the outage was dated from the arrival of the datagram, so old datagrams that a thawed member received began the two seconds of grace anew.

The feed of a relay tells removals of the last ten seconds with the whole list, also those that the relay learned from the one before it. The end of an outage is told relative to the relay's latest read, whose time each member knows by its own clock and never too late.

TestWholeListTellsRemovals plays the feed.

--- a/internal/edge/inventory/inventory.go
+++ b/internal/edge/inventory/inventory.go
@@ -4,6 +4,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/site"
 )
@@ -13,13 +14,17 @@
 	// its names and at most recordBytes.
 	maxPage, maxPageBytes = 200, 28 << 10
 	recordBytes           = 64
-	// maxRemoved is the number of removed records from which they are dropped.
+	// maxRemoved is the number of removed records from which old ones are dropped.
 	maxRemoved = 1024
+	// recentTime is the time for which a removal is told also to those that learn the whole feed: they may have known the target before,
+	// and tell a removal from a record that lapsed.
+	recentTime = 10 * time.Second
 )
 
 // Page is a run of changes of a Feed.
 type Page struct {
-	// Reset is set if the changes are all of the feed, so that what was known before is dropped.
+	// Reset is set if the changes are all of the feed, so that what was known before is dropped. The removed records among them are those
+	// removed of late.
 	Reset bool
 	// Records are the changed records; that of a removed one has no Target.
 	Records []site.TargetRecord
@@ -32,7 +37,7 @@
 	records map[string]record
 	// sequence is the number of the latest change.
 	sequence uint64
-	// droppedAt is the number of the latest change when removed records were last dropped: changes up to it are incomplete.
+	// droppedAt is the number of the latest removal that was dropped: changes up to it are incomplete.
 	droppedAt uint64
 	removed   int
 }
@@ -42,6 +47,8 @@
 	// target is nil if the record was removed.
 	target   *site.Target
 	sequence uint64
+	// changedAt is the time of the change.
+	changedAt time.Time
 }
 
 // NewFeed returns an empty Feed.
@@ -55,25 +62,34 @@
 }
 
 // Update replaces the targets by a complete list and reports whether it differs.
-func (f *Feed) Update(targets map[string]site.Target) (changed bool) {
+func (f *Feed) Update(now time.Time, targets map[string]site.Target) (changed bool) {
 	before := f.sequence
 	for id, t := range targets {
 		if r, ok := f.records[id]; !ok || r.target == nil || *r.target != t {
-			f.put(id, &t)
+			f.put(now, id, &t)
 		}
 	}
 	for id, r := range f.records {
 		if _, ok := targets[id]; !ok && r.target != nil {
-			f.put(id, nil)
+			f.put(now, id, nil)
 		}
 	}
 	if f.removed > maxRemoved {
-		f.dropRemoved()
+		f.dropRemoved(now)
 	}
 	return f.sequence != before
 }
 
-func (f *Feed) put(id string, t *site.Target) {
+// Withdraw records that targets were removed, also those that the feed has not had.
+func (f *Feed) Withdraw(now time.Time, ids ...string) {
+	for _, id := range ids {
+		if r, ok := f.records[id]; !ok || r.target != nil {
+			f.put(now, id, nil)
+		}
+	}
+}
+
+func (f *Feed) put(now time.Time, id string, t *site.Target) {
 	if r, ok := f.records[id]; ok && r.target == nil {
 		f.removed--
 	}
@@ -81,20 +97,26 @@
 		f.removed++
 	}
 	f.sequence++
-	f.records[id] = record{target: t, sequence: f.sequence}
+	f.records[id] = record{target: t, sequence: f.sequence, changedAt: now}
 }
 
-func (f *Feed) dropRemoved() {
+// dropRemoved drops the removed records but those removed of late.
+func (f *Feed) dropRemoved(now time.Time) {
 	for id, r := range f.records {
-		if r.target == nil {
+		if r.target == nil && !r.recent(now) {
 			delete(f.records, id)
+			f.removed--
+			f.droppedAt = max(f.droppedAt, r.sequence)
 		}
 	}
-	f.removed, f.droppedAt = 0, f.sequence
+}
+
+func (r *record) recent(now time.Time) bool {
+	return now.Sub(r.changedAt) < recentTime
 }
 
 // After returns the changes after a sequence number, or the first part of them.
-func (f *Feed) After(sequence uint64) (page Page) {
+func (f *Feed) After(now time.Time, sequence uint64) (page Page) {
 	if sequence > f.sequence || sequence < f.droppedAt {
 		sequence = 0
 	}
@@ -105,7 +127,7 @@
 	}
 	var changes []change
 	for id, r := range f.records {
-		if r.sequence > sequence && (r.target != nil || !page.Reset) {
+		if r.sequence > sequence && (r.target != nil || sequence > 0 || r.recent(now)) {
 			changes = append(changes, change{site.TargetRecord{ID: id, Target: r.target}, r.sequence})
 		}
 	}
--- a/internal/edge/inventory/inventory_test.go
+++ b/internal/edge/inventory/inventory_test.go
@@ -6,16 +6,19 @@
 	"math/rand/v2"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/site"
 )
 
+var start = time.Unix(1_700_000_000, 0)
+
 // catchUp applies pages to a mirror until it has all changes.
 func catchUp(f *Feed, m *Mirror) (pages int) {
 	for m.Sequence != f.Sequence() {
-		m.Apply(f.After(m.Sequence))
+		m.Apply(f.After(start, m.Sequence))
 		pages++
 	}
 	return pages
@@ -36,7 +39,7 @@
 		default:
 			targets[id] = site.Target{ID: id, StartUnixMilli: int64(round)}
 		}
-		f.Update(targets)
+		f.Update(start, targets)
 		for i := range mirrors {
 			if random.IntN(1<<(2*i)) == 0 {
 				catchUp(f, &mirrors[i])
@@ -57,8 +60,8 @@
 		id := fmt.Sprint(i)
 		targets[id] = site.Target{ID: id}
 	}
-	is.True(f.Update(targets))
-	is.True(!f.Update(targets))
+	is.True(f.Update(start, targets))
+	is.True(!f.Update(start, targets))
 	var m Mirror
 	is.Equal(catchUp(f, &m), 6)
 	is.Equal(len(m.Targets()), len(targets))
@@ -75,8 +78,8 @@
 		id := fmt.Sprintf("%s%04d", name, i)
 		targets[id] = site.Target{ID: id, Service: id, Centre: id}
 	}
-	f.Update(targets)
-	is.True(len(f.After(0).Records)*(3*longest+recordBytes) <= maxPageBytes)
+	f.Update(start, targets)
+	is.True(len(f.After(start, 0).Records)*(3*longest+recordBytes) <= maxPageBytes)
 	var m Mirror
 	catchUp(f, &m)
 	is.Equal(len(m.Targets()), len(targets))
@@ -86,15 +89,15 @@
 func TestFeedForgetsRemovedTargets(t *testing.T) {
 	is := is.New(t)
 	f := NewFeed()
-	f.Update(map[string]site.Target{"first": {ID: "first"}})
+	f.Update(start, map[string]site.Target{"first": {ID: "first"}})
 	var m Mirror
 	catchUp(f, &m)
 	for i := range 3 * maxRemoved {
 		id := fmt.Sprint(i)
-		f.Update(map[string]site.Target{id: {ID: id}})
+		f.Update(start.Add(time.Duration(i)*100*time.Millisecond), map[string]site.Target{id: {ID: id}})
 	}
 	is.True(len(f.records) <= maxRemoved+2)
-	is.True(f.After(m.Sequence).Reset)
+	is.True(f.After(start, m.Sequence).Reset)
 	catchUp(f, &m)
 	is.Equal(len(m.Targets()), 1)
 }
@@ -103,8 +106,42 @@
 func TestMirrorOfARestartedRelay(t *testing.T) {
 	is := is.New(t)
 	f := NewFeed()
-	f.Update(map[string]site.Target{"a": {ID: "a"}, "b": {ID: "b"}})
-	page := f.After(100)
+	f.Update(start, map[string]site.Target{"a": {ID: "a"}, "b": {ID: "b"}})
+	page := f.After(start, 100)
 	is.True(page.Reset)
 	is.Equal(len(page.Records), 2)
 }
+
+// TestWholeListTellsRemovals learns the whole list anew after targets were removed. A member that knew them must see that they were, also
+// from a relay that has never listed them.
+func TestWholeListTellsRemovals(t *testing.T) {
+	for _, v := range []struct {
+		name string
+		at   time.Duration
+		told bool
+	}{
+		{"at once", 0, true},
+		{"soon", 9 * time.Second, true},
+		{"late", 10 * time.Second, false},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			is := is.New(t)
+			f := NewFeed()
+			f.Update(start, map[string]site.Target{"a": {ID: "a"}, "b": {ID: "b"}})
+			f.Update(start, map[string]site.Target{"a": {ID: "a"}})
+			f.Withdraw(start, "c")
+			page := f.After(start.Add(v.at), 0)
+			is.True(page.Reset)
+			removed := 0
+			for _, r := range page.Records {
+				if r.Target == nil {
+					removed++
+				}
+			}
+			is.Equal(removed == 2, v.told)
+			var m Mirror
+			catchUp(f, &m)
+			is.Equal(len(m.Targets()), 1)
+		})
+	}
+}
--- a/internal/edge/target/outage.go
+++ b/internal/edge/target/outage.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/site"
@@ -64,6 +66,11 @@
 	}
 }
 
+// Withdrawn returns the IDs of the targets that were withdrawn of late.
+func (o *outage) Withdrawn() []string {
+	return slices.Collect(maps.Keys(o.withdrawn))
+}
+
 // noteRead records that the store was read. There was an outage if it has not answered for MinOutage, whichever calls failed.
 func (o *outage) noteRead(now time.Time) {
 	before := cmp.Or(o.answeredAt, o.unreadSince, now)
--- a/internal/process/gateway/gateway_group.go
+++ b/internal/process/gateway/gateway_group.go
@@ -90,7 +90,7 @@
 	p.appliedVersion = p.table.Version()
 	p.applyGroups()
 	if p.readTargets != nil {
-		p.feedTargets(p.readTargets)
+		p.feedTargets(now, p.readTargets)
 	}
 }
 
@@ -114,7 +114,7 @@
 
 // feedTargets passes on targets that were read from the store, with their groups and paces, and reports whether anything has
 // changed. While the table does not have a target, the last known ones apply; mu is held.
-func (p *Process) feedTargets(targets map[string]site.Target) (changed bool) {
+func (p *Process) feedTargets(now time.Time, targets map[string]site.Target) (changed bool) {
 	list := make(map[string]site.Target, len(targets))
 	for id, t := range targets {
 		hash := target.Hash(&t)
@@ -126,7 +126,7 @@
 		list[id] = t
 	}
 	p.readTargets = list
-	return p.feed.Update(list)
+	return p.feed.Update(now, list)
 }
 
 // beginStream records the start of an attempt at a stream for the search for stalled groups, and returns the function that
--- a/internal/process/gateway/gateway_member.go
+++ b/internal/process/gateway/gateway_member.go
@@ -91,9 +91,7 @@
 	m.seenAt = now
 	if n.Answer.Through != m.Sequence && (n.Answer.Reset_ || n.Answer.Through > m.Sequence) {
 		page := n.Answer.DecodePage(now)
-		if !page.Reset {
-			p.registry.Withdraw(now, removedRecords(page.Records)...)
-		}
+		p.registry.Withdraw(now, removedRecords(page.Records)...)
 		m.Apply(page)
 		p.mirrorsChanged = true
 	}
@@ -107,7 +105,7 @@
 	}
 	at := min(report.sentAt+time.Duration(n.Answer.Confirmed)*time.Microsecond, boot)
 	if outage := time.Duration(n.Relay.Outage) * time.Microsecond; outage > 0 && outage < outageNewsTime {
-		p.registry.NoteOutage(now.Add(-outage))
+		p.registry.NoteOutage(now.Add(at - boot - outage))
 	}
 	if at > p.targetsAt {
 		p.targetsAt = at
--- a/internal/process/gateway/gateway_relay.go
+++ b/internal/process/gateway/gateway_relay.go
@@ -210,9 +210,7 @@
 		Evacuated: p.evacuated, Groups: p.encodeStates(now),
 	}
 	p.tellKnown(now, n.Relay)
-	if ended := p.registry.OutageEndedAt(); !ended.IsZero() {
-		n.Relay.Outage = max(now.Sub(ended).Microseconds(), 1)
-	}
+	n.Relay.Outage = p.sinceOutage(now).Microseconds()
 	centres := message.EncodeView(view)
 	var list []datagram.Addressed
 	for _, address := range p.mesh.Addresses(p.settings.Load().Centre, false) {
@@ -238,7 +236,7 @@
 	if m.inventory == p.feed.Sequence() || m.sentThrough == p.feed.Sequence() && now.Sub(m.sentAt) < maxSendInterval {
 		return a
 	}
-	page := p.feed.After(m.inventory)
+	page := p.feed.After(now, m.inventory)
 	a.Reset_, a.Through, a.Targets = page.Reset, page.Through, message.EncodeTargets(now, page.Records)
 	m.sentThrough, m.sentAt = page.Through, now
 	return a
@@ -250,18 +248,36 @@
 func (p *Process) updateFeed(targets map[string]site.Target, centres []string, readAt time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if kept := p.registry.Kept(p.Now(), targets); len(kept) > 0 {
+	now := p.Now()
+	if kept := p.registry.Kept(now, targets); len(kept) > 0 {
 		targets = maps.Clone(targets)
 		for _, t := range kept {
 			targets[t.ID] = t
 		}
 	}
 	centres = relayedCentres(centres, targets)
-	changed := p.feedTargets(targets) || p.version() != p.sentVersion || !slices.Equal(centres, p.evacuated)
+	p.feed.Withdraw(now, p.withdrawn(targets)...)
+	changed := p.feedTargets(now, targets) || p.version() != p.sentVersion || !slices.Equal(centres, p.evacuated)
 	p.readAt, p.evacuated = readAt, centres
 	if changed && p.mesh.IsRelay() {
-		p.relay(p.Now())
+		p.relay(now)
+	}
+}
+
+// withdrawn returns the IDs of the targets that were withdrawn of late and are not listed again; mu is held.
+func (p *Process) withdrawn(listed map[string]site.Target) []string {
+	return slices.DeleteFunc(p.registry.Withdrawn(), func(id string) bool { _, ok := listed[id]; return ok })
+}
+
+// sinceOutage returns the time from the end of the store's latest outage to this entry's latest read, or zero if there was none; mu is
+// held. Members know the time of that read by their own clock, also after a datagram that took long.
+func (p *Process) sinceOutage(now time.Time) time.Duration {
+	ended := p.registry.OutageEndedAt()
+	boot, ok := p.Boot.Now()
+	if ended.IsZero() || !ok || p.readAt < 0 {
+		return 0
 	}
+	return max(now.Sub(ended)-(boot-p.readAt), time.Microsecond)
 }
 
 // forgetMembers drops the reports of entries that are no longer known; mu is held.
--- a/internal/proof/edge/watch_test.go
+++ b/internal/proof/edge/watch_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -185,3 +186,59 @@
 		})
 	}
 }
+
+// TestThawedMembersTakeNoRemovalForALapse freezes most entries and then their relay after an outage, and removes a target. Once they thaw
+// they receive what that relay has told of the outage, and learn the whole list from another one. They must not take the removed target
+// for one whose record has lapsed.
+func TestThawedMembersTakeNoRemovalForALapse(t *testing.T) {
+	const entries, thawing = 8, 5
+	t.Parallel()
+	is := is.New(t)
+	serve := withWarmRoute(serveDone)
+	r := newSite(t, entries, time.Minute, serve, serve)
+	time.Sleep(time.Second)
+	for _, e := range r.entries {
+		e.storeCut.Store(true)
+	}
+	time.Sleep(4 * time.Second)
+	watches := make([]int64, len(r.entries))
+	for i, e := range r.entries {
+		watches[i] = e.link.watches.Load()
+	}
+	for _, e := range r.entries {
+		e.storeCut.Store(false)
+	}
+	var relay *entry
+	r.await(func() bool {
+		i := slices.IndexFunc(r.entries, func(e *entry) bool { return e.link.watches.Load() > watches[e.number] })
+		if i >= 0 {
+			relay = r.entries[i]
+		}
+		return i >= 0
+	})
+	members := make([]*entry, thawing)
+	for i := range members {
+		members[i] = r.entries[(relay.number+1+i)%entries]
+		members[i].frozen.Lock()
+	}
+	time.Sleep(400 * time.Millisecond)
+	relay.frozen.Lock()
+	defer relay.frozen.Unlock()
+	r.store.remove("servers/" + r.targets[0].id)
+	removed := time.Now()
+	time.Sleep(1700 * time.Millisecond)
+	for _, e := range members {
+		e.frozen.Unlock()
+	}
+	time.Sleep(time.Until(removed.Add(drainTime)))
+	before, served := r.targets[0].count(), 0
+	for time.Since(removed) < 2*drainTime {
+		for _, e := range members {
+			if r.callAt(e, "POST", "/once/", nil).status == http.StatusOK {
+				served++
+			}
+		}
+	}
+	is.Equal(r.targets[0].count()-before, 0) // late requests
+	is.True(served > 0)
+}
--- a/internal/wire/message/convert_group_test.go
+++ b/internal/wire/message/convert_group_test.go
@@ -71,12 +71,12 @@
 		targets[x.ID] = x
 		list = append(list, x)
 	}
-	feed.Update(targets)
-	plain.Update(targets)
+	start := time.Unix(1_700_000_000, 0)
+	feed.Update(start, targets)
+	plain.Update(start, targets)
 	known := feed.Sequence()
 	told := make([]float64, slots)
 	version := uint64(0)
-	start := time.Unix(1_700_000_000, 0)
 	for n := range warmup + seconds*10 {
 		now := start.Add(time.Duration(n) * tick)
 		for i, x := range list {
@@ -117,12 +117,12 @@
 				x.Group, x.Pace = m.Group, m.Pace
 				targets[id] = x
 			}
-			feed.Update(targets)
+			feed.Update(now, targets)
 		}
 		if n%3 != 0 {
 			continue
 		}
-		page := feed.After(known)
+		page := feed.After(now, known)
 		known = page.Through
 		size := proto.Size(&Answer{Targets: EncodeTargets(time.Now(), page.Records)})
 		if n < warmup {
