--- a/internal/process/slotd/slotd_wish_test.go
+++ b/internal/process/slotd/slotd_wish_test.go
@@ -85,3 +85,27 @@
 		})
 	}
 }
+
+// TestEachStatusOfAnEngine has an engine answer with each status, with and without the header that says that the request has not run.
+func TestEachStatusOfAnEngine(t *testing.T) {
+	for _, refused := range []bool{false, true} {
+		for status := 100; status < 600; status++ {
+			is := is.New(t)
+			p := &Process{Node: &node.Node{Log: slog.New(slog.DiscardHandler)}}
+			response := &http.Response{StatusCode: status, Header: http.Header{}, Body: http.NoBody, ContentLength: 0}
+			if refused {
+				response.Header.Set(headerNotRun, "1")
+			}
+			want, passed := call.OutcomeComplete, status
+			switch promise := status == 408 || status == 421 || status == 429 || status == 503; {
+			case promise && refused:
+				want, passed = call.OutcomeNotRun, 0
+			case promise || status < 200:
+				want, passed = call.OutcomeFailed, 0
+			}
+			result := p.copyAnswer(&slot.Run{ID: "1", Request: call.Request{}}, response, func(error) {})
+			is.Equal(result.Outcome, want)  // status
+			is.Equal(result.Status, passed) // status
+		}
+	}
+}
