--- a/internal/proof/edge/crash_part_test.go
+++ b/internal/proof/edge/crash_part_test.go
@@ -228,7 +228,7 @@
 }
 
 // manyEntries is the number of entries of TestCrashingPartAtManyEntries; 149 need a machine of their own for two minutes.
-var manyEntries = flag.Int("entries", 31, "number of entries of TestCrashingPartAtManyEntries")
+var manyEntries = flag.Int("entries", 31, "number of entries of the tests with many")
 
 // TestCrashingPartAtManyEntries plays the numbers of entries of larger sites.
 func TestCrashingPartAtManyEntries(t *testing.T) {
--- a/internal/proof/edge/watch_test.go
+++ b/internal/proof/edge/watch_test.go
@@ -110,6 +110,9 @@
 		{"9 entries, cut in turn", 9, inTurn, cutEach(300 * time.Millisecond)},
 		{"9 entries, silent in turn", 9, inTurn, silence},
 		{"9 entries, refused in turn", 9, inTurn, refuseWatches},
+		{"many entries, cut each second", *manyEntries, all, cutEach(time.Second)},
+		{"many entries, one reader cut", *manyEntries, oneReader, cutEach(300 * time.Millisecond)},
+		{"many entries, silent in turn", *manyEntries, inTurn, silence},
 	}
 	for _, interval := range []time.Duration{300 * time.Millisecond, 500 * time.Millisecond, time.Second, 1500 * time.Millisecond, 2 * time.Second, 3 * time.Second} {
 		for _, entries := range []int{1, 9} {
