--- a/internal/edge/target/outage.go
+++ b/internal/edge/target/outage.go
@@ -86,8 +86,8 @@
 	}
 }
 
-// keeps reports whether a target stays although it is missing from a list. Outages that follow one another keep it no longer than
-// outageGrace without the time in which the store could not be read: a target that runs writes its record in that time.
+// keeps reports whether a target stays although it is missing from a list. Outages that follow one another keep it for no more than
+// outageGrace of the time in which the store could be read, within which a target that runs writes its record.
 func (o *outage) keeps(now time.Time, id string) bool {
 	at, ok := o.missing[id]
 	return now.Sub(o.endedAt) < outageGrace && o.withdrawn[id].IsZero() && (!ok || o.readable-at < outageGrace)
--- a/internal/edge/target/outage_test.go
+++ b/internal/edge/target/outage_test.go
@@ -36,7 +36,7 @@
 		{"one failed read each 0.3 s", each(300*time.Millisecond, interval), false, 0, interval},
 		{"one failed read each second", each(time.Second, interval), false, 0, interval},
 		{"one failed read each two seconds", each(2*time.Second, interval), false, 0, interval},
-		// The store can be read for half a second of each three, up to the first of four such times the removal is not read at all.
+		// The store can be read for half a second of each three. The first list without the target comes 2.5 s after the removal or sooner.
 		{"outages that follow one another", each(3*time.Second, 2500*time.Millisecond), false, outageGrace, 2500*time.Millisecond + 4*3*time.Second},
 		{"failed reads after an outage", func(at time.Duration) bool {
 			return during(7*time.Second, 10*time.Second)(at) || each(time.Second, interval)(at)
--- a/internal/proof/edge/watch_test.go
+++ b/internal/proof/edge/watch_test.go
@@ -69,7 +69,8 @@
 }
 
 // TestFailingWatchesHoldNoRemovalBack removes the record of a target, which serves on, while watches that wait fail again and again: they
-// are cut, stay without an answer or are refused. The store answers all other calls. No request may reach the target later than the shortest drain time after that.
+// are cut, stay without an answer or are refused. The store answers all other calls. No request may reach the target later than the
+// shortest drain time after that.
 func TestFailingWatchesHoldNoRemovalBack(t *testing.T) {
 	const watched, turn = 7 * time.Second, 700 * time.Millisecond
 	all := func(r *rig, fault watchFault, _ <-chan struct{}) {
