--- a/internal/proof/edge/watch_test.go
+++ b/internal/proof/edge/watch_test.go
@@ -57,12 +57,12 @@
 	return func(l *storeLink) { l.cutInterval.Store(int64(interval)) }
 }
 
-func silence(l *storeLink) { l.silent.Store(true) }
+func silenceWatches(l *storeLink) { l.silent.Store(true) }
 
 func refuseWatches(l *storeLink) { l.refused.Store(true) }
 
-// cureWatches ends all faults.
-func cureWatches(l *storeLink) {
+// clearWatchFaults ends all faults of the watches.
+func clearWatchFaults(l *storeLink) {
 	l.cutInterval.Store(0)
 	l.silent.Store(false)
 	l.refused.Store(false)
@@ -82,7 +82,7 @@
 	inTurn := func(r *rig, fault watchFault, ended <-chan struct{}) {
 		for i := 0; ; i++ {
 			for _, e := range r.entries {
-				if cureWatches(e.link); e.number%2 == i%2 {
+				if clearWatchFaults(e.link); e.number%2 == i%2 {
 					fault(e.link)
 				}
 			}
@@ -100,20 +100,20 @@
 		disturb disturb
 		fault   watchFault
 	}{
-		{"one entry, silent", 1, all, silence},
+		{"one entry, silent", 1, all, silenceWatches},
 		{"one entry, refused", 1, all, refuseWatches},
-		{"9 entries, silent", 9, all, silence},
+		{"9 entries, silent", 9, all, silenceWatches},
 		{"9 entries, refused", 9, all, refuseWatches},
 		{"9 entries, one reader cut", 9, oneReader, cutEach(300 * time.Millisecond)},
 		{"9 entries, one reader cut each second", 9, oneReader, cutEach(time.Second)},
-		{"9 entries, one reader silent", 9, oneReader, silence},
+		{"9 entries, one reader silent", 9, oneReader, silenceWatches},
 		{"9 entries, one reader refused", 9, oneReader, refuseWatches},
 		{"9 entries, cut in turn", 9, inTurn, cutEach(300 * time.Millisecond)},
-		{"9 entries, silent in turn", 9, inTurn, silence},
+		{"9 entries, silent in turn", 9, inTurn, silenceWatches},
 		{"9 entries, refused in turn", 9, inTurn, refuseWatches},
 		{"many entries, cut each second", *manyEntries, all, cutEach(time.Second)},
 		{"many entries, one reader cut", *manyEntries, oneReader, cutEach(300 * time.Millisecond)},
-		{"many entries, silent in turn", *manyEntries, inTurn, silence},
+		{"many entries, silent in turn", *manyEntries, inTurn, silenceWatches},
 	}
 	for _, interval := range []time.Duration{300 * time.Millisecond, 500 * time.Millisecond, time.Second, 1500 * time.Millisecond, 2 * time.Second, 3 * time.Second} {
 		for _, entries := range []int{1, 9} {
