Review case 7: cold engines get too much while the store is down

Cause: an entry counts the cold time of an engine from the latest failure that it has seen, which lies before the engine's start; only the record corrects that. Change: a script and the claim; the stand-ins can be cold, crash and lose the store.

--- a/review/rig-2/engine.go
+++ b/review/rig-2/engine.go
@@ -6,34 +6,106 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 )
 
+const (
+	// coldTime and coldRate are coldS and coldPerS of all services.
+	coldTime = 3 * time.Second
+	coldRate = 15.0
+	// heartbeat is heartbeatMs.
+	heartbeat = 1200 * time.Millisecond
+	// crashRate is the number of requests in a second, well above coldRate, at which a cold engine crashes.
+	crashRate = 2 * coldRate
+)
+
 // engine is a plain server of a service, which runs each request for a fixed time.
 type engine struct {
-	rig     *rig
-	id      string
-	address netip.AddrPort
-	server  *http.Server
-	work    time.Duration
+	rig               *rig
+	id, service, zone string
+	slots             int
+	address           netip.AddrPort
+	work              time.Duration
 	// running is the number of requests in progress.
 	running atomic.Int64
+
+	// mu guards the fields below.
+	mu     sync.Mutex
+	server *http.Server
+	// born is the start of the incarnation, and coldUntil until when it is cold.
+	born, coldUntil time.Time
+	// arrivals are the times of the requests that were not turned away with 421.
+	arrivals []time.Time
 }
 
-// startEngine starts an engine and registers it in the store.
+// startEngine starts an engine, which is warm, and registers it in the store.
 func (r *rig) startEngine(service, zone string, slots int, work time.Duration) (*engine, error) {
 	number := len(r.engines) + 1
-	l, err := net.Listen("tcp4", fmt.Sprintf("127.0.42.%d:0", number))
+	ip := netip.AddrFrom4([4]byte{127, 0, 42, byte(number)})
+	port, err := freePort(ip)
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{rig: r, id: fmt.Sprintf("i-%s-%d", service, number), address: netip.MustParseAddrPort(l.Addr().String()), work: work}
-	e.server = &http.Server{Handler: e, ReadHeaderTimeout: 10 * time.Second}
-	go func() { _ = e.server.Serve(l) }()
+	e := &engine{
+		rig: r, id: fmt.Sprintf("i-%s-%d", service, number), service: service, zone: zone, slots: slots, address: netip.AddrPortFrom(ip, port), work: work,
+	}
 	r.engines = append(r.engines, e)
-	return e, r.store.put("servers/"+e.id, map[string]any{
-		"service": service, "addr": e.address.String(), "zone": zone, "version": "v1", "slots": slots, "state": "ready", "coldLeftMs": 0, "seq": 1,
+	if err := e.start(0); err != nil {
+		return nil, err
+	}
+	go e.beat()
+	return e, e.register()
+}
+
+// start starts an incarnation that is cold for a time.
+func (e *engine) start(cold time.Duration) error {
+	l, err := net.Listen("tcp4", e.address.String())
+	if err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.born, e.coldUntil = time.Now(), time.Now().Add(cold)
+	e.server = &http.Server{Handler: e, ReadHeaderTimeout: 10 * time.Second}
+	go func(server *http.Server) { _ = server.Serve(l) }(e.server)
+	e.rig.note("%s starts, cold for %v", e.id, cold)
+	return nil
+}
+
+// crash ends the incarnation: its channels are closed, and new ones are refused.
+func (e *engine) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.server == nil {
+		return
+	}
+	_ = e.server.Close()
+	e.server = nil
+	e.rig.note("%s crashes", e.id)
+}
+
+// beat renews the record each heartbeat while the engine runs, if the store accepts it.
+func (e *engine) beat() {
+	for range time.Tick(heartbeat) {
+		e.mu.Lock()
+		up := e.server != nil
+		e.mu.Unlock()
+		if up {
+			_ = e.register()
+		}
+	}
+}
+
+// register writes the record.
+func (e *engine) register() error {
+	e.mu.Lock()
+	left, born := max(time.Until(e.coldUntil).Milliseconds(), 0), e.born.UnixMilli()
+	e.mu.Unlock()
+	return e.rig.store.put("servers/"+e.id, map[string]any{
+		"service": e.service, "addr": e.address.String(), "zone": e.zone, "version": "v1", "slots": e.slots, "state": "ready", "coldLeftMs": left,
+		"seq": 1, "born": born,
 	})
 }
 
@@ -50,6 +122,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if e.arrive() {
+		e.crash()
+	}
 	_, _ = io.Copy(io.Discard, r.Body)
 	e.running.Add(1)
 	defer e.running.Add(-1)
@@ -64,3 +139,37 @@
 	fmt.Fprintf(w, "answer to %s", id)
 	e.rig.note("%s has answered %s", e.id, id)
 }
+
+// arrive counts a request and reports whether it is one too many for the cold engine.
+func (e *engine) arrive() (tooMany bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	e.arrivals = append(e.arrivals, now)
+	n := 0
+	for i := len(e.arrivals) - 1; i >= 0 && now.Sub(e.arrivals[i]) < time.Second; i-- {
+		n++
+	}
+	return now.Before(e.coldUntil) && n > crashRate
+}
+
+// most returns the largest number of arrivals within a second from a time until another, and when that second began.
+func (e *engine) most(from, to time.Time) (most int, at time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i, first := range e.arrivals {
+		if first.Before(from) || !first.Before(to) {
+			continue
+		}
+		n := 0
+		for _, v := range e.arrivals[i:] {
+			if v.Before(to) && v.Sub(first) < time.Second {
+				n++
+			}
+		}
+		if n > most {
+			most, at = n, first
+		}
+	}
+	return most, at
+}
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -17,6 +17,7 @@
 // cases holds the scripts by the name of their folder.
 var cases = map[string]func(r *rig) (broken bool, err error){
 	"6": settingsChangeInDrain,
+	"7": coldReturnWhileStoreIsDown,
 }
 
 func main() {
--- a/review/rig-2/rig.go
+++ b/review/rig-2/rig.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -28,6 +29,8 @@
 	store   *store
 	engines []*engine
 	entries []*entry
+	// lost counts the requests that got no answer of the engine that ran them.
+	lost atomic.Int64
 
 	// mu guards record.
 	mu     sync.Mutex
@@ -61,7 +64,7 @@
 		e.end()
 	}
 	for _, e := range r.engines {
-		_ = e.server.Close()
+		e.crash()
 	}
 	_ = r.store.server.Close()
 	_ = os.RemoveAll(r.folder)
@@ -199,6 +202,9 @@
 againS = 0
 stall_ms = 1500
 requireFence = false
+coldOver = 1.5
+coldSlack = 5
+evacMs = 5000
 [platform]
 addr = %q
 form = "read"
--- a/review/rig-2/store.go
+++ b/review/rig-2/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -34,8 +35,13 @@
 	items    map[string]item
 	// changed is closed and replaced at each write.
 	changed chan struct{}
+	// down is set while the store answers nothing and accepts no write.
+	down bool
 }
 
+// errDown reports a write that the store has not accepted.
+var errDown = errors.New("the store is down")
+
 // version is the version of the first configuration.
 const version = 1
 
@@ -46,14 +52,41 @@
 	}
 	s := &store{rig: r, address: netip.MustParseAddrPort(l.Addr().String()), revision: 10, items: map[string]item{}, changed: make(chan struct{})}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /dragonflydeal/kv-key", s.key)
-	mux.HandleFunc("GET /dragonflydeal/kv-range", s.list)
-	mux.HandleFunc("GET /dragonflydeal/kv-watch", s.watch)
+	mux.HandleFunc("GET /dragonflydeal/kv-key", s.unlessDown(s.key))
+	mux.HandleFunc("GET /dragonflydeal/kv-range", s.unlessDown(s.list))
+	mux.HandleFunc("GET /dragonflydeal/kv-watch", s.unlessDown(s.watch))
 	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = s.server.Serve(l) }()
 	return s, nil
 }
 
+// setDown makes the store silent, or lets it answer again.
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	s.rig.note("store: silent %v", down)
+}
+
+func (s *store) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
+// unlessDown answers nothing while the store is down, also to calls that were waiting when it went down.
+func (s *store) unlessDown(handle http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !s.isDown() {
+			handle(w, r)
+		}
+		if s.isDown() {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
 // put writes a value as JSON.
 func (s *store) put(key string, value any) error {
 	data, err := json.Marshal(value)
@@ -62,6 +95,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.down {
+		return errDown
+	}
 	s.revision++
 	created := s.items[key].CreateRev
 	if created == 0 {
@@ -149,7 +185,9 @@
 func (s *store) configure(services []string, routes ...map[string]any) error {
 	var list []map[string]any
 	for _, name := range services {
-		list = append(list, map[string]any{"name": name, "healthPath": "/health", "maxConns": 110, "protocol": "h1", "tls": false})
+		list = append(list, map[string]any{
+			"name": name, "healthPath": "/health", "maxConns": 110, "protocol": "h1", "tls": false, "coldS": coldTime.Seconds(), "coldPerS": coldRate,
+		})
 	}
 	return s.put("op/config", map[string]any{
 		"version": version, "routes": routes, "services": list, "tenants": []any{},
