--- a/review/rig-2/case_7.go
+++ b/review/rig-2/case_7.go
@@ -23,7 +23,7 @@
 		return false, err
 	}
 	for i := range 3 {
-		if _, err := r.startEngine("orders", string(rune('a'+i)), 6, coldWork); err != nil {
+		if err := r.startEngine("orders", string(rune('a'+i)), 6, coldWork); err != nil {
 			return false, err
 		}
 	}
--- a/review/rig-2/engine.go
+++ b/review/rig-2/engine.go
@@ -41,22 +41,22 @@
 }
 
 // startEngine starts an engine, which is warm, and registers it in the store.
-func (r *rig) startEngine(service, zone string, slots int, work time.Duration) (*engine, error) {
+func (r *rig) startEngine(service, zone string, slots int, work time.Duration) error {
 	number := len(r.engines) + 1
 	ip := netip.AddrFrom4([4]byte{127, 0, 42, byte(number)})
 	port, err := freePort(ip)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	e := &engine{
 		rig: r, id: fmt.Sprintf("i-%s-%d", service, number), service: service, zone: zone, slots: slots, address: netip.AddrPortFrom(ip, port), work: work,
 	}
 	r.engines = append(r.engines, e)
 	if err := e.start(0); err != nil {
-		return nil, err
+		return err
 	}
 	go e.beat()
-	return e, e.register()
+	return e.register()
 }
 
 // start starts an incarnation that is cold for a time.
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(r *rig) (broken bool, err error){
 	"6": settingsChangeInDrain,
 	"7": coldReturnWhileStoreIsDown,
+	"8": channelsLeftIdle,
 }
 
 func main() {
