End the processes of a script that is stopped

Cause: a script that ran into its time limit left its entries behind. Change: the stand-ins end them on SIGTERM.

--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes of a script.
@@ -37,6 +39,14 @@
 		return exitNotRun
 	}
 	defer r.close()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stop
+		r.note("not run: stopped")
+		r.close()
+		os.Exit(exitNotRun)
+	}()
 	broken, err := cases[os.Args[1]](r)
 	switch {
 	case err != nil:
