--- a/review/rig-3/consumer.go
+++ b/review/rig-3/consumer.go
@@ -12,9 +12,9 @@
 	"time"
 )
 
-// consumers sends requests to an entry until the context ends.
+// consumers sends requests to entries until the context ends.
 type consumers struct {
-	front, host, path, key string
+	host, path, key string
 	// timeout is the time limit that each request states.
 	timeout time.Duration
 	record  *record
@@ -25,14 +25,15 @@
 	ends map[string]int
 }
 
-// run sends requests from a number of connections, each with a pause of half to one and a half times the given one after each answer.
-func (c *consumers) run(ctx context.Context, count int, pause time.Duration) {
+// run sends requests to an entry from a number of connections, each with a pause of half to one and a half times the given one after each
+// answer.
+func (c *consumers) run(ctx context.Context, front string, count int, pause time.Duration) {
 	var all sync.WaitGroup
 	for range count {
 		all.Go(func() {
 			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: c.timeout}
 			for ctx.Err() == nil {
-				c.send(client)
+				c.send(client, front)
 				select {
 				case <-ctx.Done():
 				case <-time.After(pause/2 + time.Duration(rand.Int64N(int64(pause)))):
@@ -44,9 +45,9 @@
 }
 
 // send sends one request that may run once at most, so it is not repeated.
-func (c *consumers) send(client *http.Client) {
+func (c *consumers) send(client *http.Client, front string) {
 	id := fmt.Sprintf("%016x", c.sent.Add(1))
-	r, err := http.NewRequest(http.MethodPost, "http://"+c.front+c.path, strings.NewReader("hold "+id))
+	r, err := http.NewRequest(http.MethodPost, "http://"+front+c.path, strings.NewReader("hold "+id))
 	if err != nil {
 		panic(err)
 	}
@@ -54,7 +55,7 @@
 	r.Header.Set("Attempt-Id", id)
 	r.Header.Set("Timeout-Ms", fmt.Sprint(c.timeout.Milliseconds()))
 	r.Header.Set("Authorization", "Bearer "+c.key)
-	c.record.add("sent", "id", id)
+	c.record.add("sent", "id", id, "to", front)
 	status, text := 0, ""
 	response, err := client.Do(r)
 	if err == nil {
--- a/review/rig-3/drill.go
+++ b/review/rig-3/drill.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 )
 
@@ -12,11 +13,14 @@
 	// copyAge is the age of the copy that the store comes back from, and awayTime the time for which it is away.
 	copyAge, awayTime = 3 * time.Second, 400 * time.Millisecond
 	// drillDelay is the time from the acknowledgement of an engine's drain to the drill, and serveTime that to its exit.
-	drillDelay, serveTime = 2400 * time.Millisecond, 3200 * time.Millisecond
+	drillDelay, serveTime = 2100 * time.Millisecond, 3300 * time.Millisecond
 	// warmTime is the time before the drain, and restTime that after the exit.
 	warmTime, restTime = 4500 * time.Millisecond, 2 * time.Second
 	// noticeTime is the time in which an entry learns of a change.
 	noticeTime = time.Second
+	// entryCount is the number of entries. Each has callerCount connections of consumers, with a pause after each answer.
+	entryCount, callerCount = 9, 2
+	callerPause             = 500 * time.Millisecond
 )
 
 // playDrill lets an engine drain and exit as planned. While it still serves, the store is away for a moment and comes back from a copy
@@ -29,7 +33,7 @@
 	p.atEnd(s.leave)
 	var engines []*engine
 	for i := range 3 {
-		e := &engine{id: fmt.Sprintf("i-%d", i+1), service: "holds", zone: "riga-a", address: freeAddress(), work: 250 * time.Millisecond, slots: 12, store: s, record: p.record}
+		e := &engine{id: fmt.Sprintf("i-%d", i+1), service: "holds", zone: "riga-a", address: freeAddress(), work: 300 * time.Millisecond, slots: 12, store: s, record: p.record}
 		if err := e.start(); err != nil {
 			return false, err
 		}
@@ -44,16 +48,17 @@
 		"limits":  map[string]any{"headerBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []any{map[string]any{"name": "school", "apiKeys": []string{"k-1"}, "priority": 1}},
 	})
-	entry, err := startEntry(p.program, p.folder, s.address)
+	entries, err := startEntries(p, entryCount, s.address)
 	if err != nil {
 		return false, err
 	}
-	p.atEnd(entry.end)
-	c := &consumers{front: entry.front, host: "desk.example", path: "/hold/room", key: "k-1", timeout: 2 * time.Second, record: p.record, ends: map[string]int{}}
+	c := &consumers{host: "desk.example", path: "/hold/room", key: "k-1", timeout: 2 * time.Second, record: p.record, ends: map[string]int{}}
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() { defer close(done); c.run(ctx, 24, 200*time.Millisecond) }()
-	defer func() { cancel(); <-done }()
+	var done sync.WaitGroup
+	for _, e := range entries {
+		done.Go(func() { c.run(ctx, e.front, callerCount, callerPause) })
+	}
+	defer func() { cancel(); done.Wait() }()
 
 	time.Sleep(warmTime)
 	// The copy of the drill is taken shortly before the drain.
@@ -82,7 +87,7 @@
 	left.exit()
 	time.Sleep(restTime)
 	cancel()
-	<-done
+	done.Wait()
 
 	late := p.record.between(left.id, drained.Add(drainTime), time.Now())
 	lost := 0
--- a/review/rig-3/engine.go
+++ b/review/rig-3/engine.go
@@ -23,8 +23,8 @@
 
 	mu    sync.Mutex
 	state string
-	// ended is closed at the exit.
-	ended chan struct{}
+	// changed tells beat of a change that was written, and ended is closed at the exit.
+	changed, ended chan struct{}
 	// places holds a value for each request that runs.
 	places chan struct{}
 }
@@ -35,30 +35,37 @@
 	if err != nil {
 		return err
 	}
-	e.state, e.ended, e.places, e.born = "ready", make(chan struct{}), make(chan struct{}, e.slots), time.Now().UnixMilli()
+	e.state, e.changed, e.ended, e.places, e.born = "ready", make(chan struct{}), make(chan struct{}), make(chan struct{}, e.slots), time.Now().UnixMilli()
 	e.server = &http.Server{Handler: e, ReadHeaderTimeout: time.Minute}
 	go func() { _ = e.server.Serve(l) }()
 	e.write()
-	go func() {
-		t := time.NewTicker(heartbeat)
-		defer t.Stop()
-		for {
-			select {
-			case <-e.ended:
-				return
-			case <-t.C:
-				e.write()
-			}
-		}
-	}()
+	go e.beat()
 	return nil
 }
 
+// beat writes the record at each heartbeat until the exit. After a change that the engine has written the next one follows a heartbeat
+// later.
+func (e *engine) beat() {
+	t := time.NewTicker(heartbeat)
+	defer t.Stop()
+	for {
+		select {
+		case <-e.ended:
+			return
+		case <-e.changed:
+			t.Reset(heartbeat)
+		case <-t.C:
+			e.write()
+		}
+	}
+}
+
 // write writes the record and reports whether the store has acknowledged it.
 func (e *engine) write() bool {
-	e.mu.Lock()
-	state := e.state
-	e.mu.Unlock()
+	state := "ready"
+	if e.leaves() {
+		state = "draining"
+	}
 	ok := e.store.put("servers/"+e.id, map[string]any{
 		"service": e.service, "addr": e.address, "zone": e.zone, "version": "v1", "slots": e.slots, "state": state, "coldLeftMs": 0, "born": e.born, "seq": time.Now().UnixMilli(),
 	})
@@ -66,12 +73,21 @@
 	return ok
 }
 
+// leaves reports whether the engine has begun to drain. It says so in all its answers.
+func (e *engine) leaves() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state == "draining"
+}
+
 // drain reports to the store that the engine is draining, and returns whether the store has acknowledged that.
 func (e *engine) drain() bool {
 	e.mu.Lock()
 	e.state = "draining"
 	e.mu.Unlock()
-	return e.write()
+	ok := e.write()
+	e.changed <- struct{}{}
+	return ok
 }
 
 // exit ends the engine with the requests that it runs, and removes its record.
@@ -86,6 +102,9 @@
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Attempt-Id")
 	w.Header().Set("Instance-Id", e.id)
+	if e.leaves() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if r.URL.Path == "/health" {
 		return
 	}
@@ -111,6 +130,9 @@
 		e.record.add("broken off", "engine", e.id, "id", id)
 		panic(http.ErrAbortHandler)
 	}
+	if e.leaves() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	w.Header().Set("Attempt-Id", id)
 	w.Header().Set("Engine-Seal", "seal-"+e.id+"-"+id)
 	_, _ = w.Write([]byte("done " + id + "\n"))
