Let the engine of review case 10 write its record again before it exits

Cause: the engines write again what the store has lost. Change: it exits 0.1 s after the heartbeat at which it does so.

--- a/review/rig-3/drill.go
+++ b/review/rig-3/drill.go
@@ -13,7 +13,7 @@
 	// copyAge is the age of the copy that the store comes back from, and awayTime the time for which it is away.
 	copyAge, awayTime = 3 * time.Second, 400 * time.Millisecond
 	// drillDelay is the time from the acknowledgement of an engine's drain to the drill, and serveTime that to its exit.
-	drillDelay, serveTime = 2100 * time.Millisecond, 3300 * time.Millisecond
+	drillDelay, serveTime = 2100 * time.Millisecond, 3700 * time.Millisecond
 	// warmTime is the time before the drain, and restTime that after the exit.
 	warmTime, restTime = 4500 * time.Millisecond, 2 * time.Second
 	// noticeTime is the time in which an entry learns of a change.
