--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,3 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go build -o target/rig-2 ./review/rig-2
+go build -o target/rig-3 ./review/rig-3
--- a/review/rig-3/engine.go
+++ b/review/rig-3/engine.go
@@ -29,6 +29,9 @@
 	places chan struct{}
 }
 
+// key returns the key of the engine's record.
+func (e *engine) key() string { return "servers/" + e.id }
+
 // start serves requests and writes the record of the engine at each heartbeat.
 func (e *engine) start() error {
 	l, err := net.Listen("tcp4", e.address)
@@ -66,7 +69,7 @@
 	if e.leaves() {
 		state = "draining"
 	}
-	ok := e.store.put("servers/"+e.id, map[string]any{
+	ok := e.store.put(e.key(), map[string]any{
 		"service": e.service, "addr": e.address, "zone": e.zone, "version": "v1", "slots": e.slots, "state": state, "coldLeftMs": 0, "born": e.born, "seq": time.Now().UnixMilli(),
 	})
 	e.record.add("beat", "engine", e.id, "state", state, "acknowledged", ok)
@@ -94,7 +97,7 @@
 func (e *engine) exit() {
 	close(e.ended)
 	_ = e.server.Close()
-	e.store.remove("servers/" + e.id)
+	e.store.remove(e.key())
 	e.record.add("exit", "engine", e.id)
 }
 
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -38,7 +38,7 @@
 
 // cases holds the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(*play) (broken bool, err error){
-	"drill": playDrill,
+	"late": playLateWrite, "drill": playDrill,
 }
 
 func main() { os.Exit(run()) }
--- a/review/rig-3/store.go
+++ b/review/rig-3/store.go
@@ -47,13 +47,15 @@
 	mu sync.Mutex
 	contents
 	era int
+	// late is the time after which the next write of a key is done that gets no answer, by key.
+	late map[string]time.Duration
 	// server is nil while the store is away.
 	server *http.Server
 }
 
 // newStore starts a store at an address.
 func newStore(address string) (*store, error) {
-	s := &store{address: address, contents: contents{items: map[string]item{}}, era: 1}
+	s := &store{address: address, contents: contents{items: map[string]item{}}, era: 1, late: map[string]time.Duration{}}
 	return s, s.open()
 }
 
@@ -97,6 +99,21 @@
 	s.era++
 }
 
+// loseAnswer lets the next write of a key be done after a time, without an answer.
+func (s *store) loseAnswer(key string, after time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.late[key] = after
+}
+
+// expectsLoss reports whether the write of a key whose answer is lost is still to come.
+func (s *store) expectsLoss(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.late[key]
+	return ok
+}
+
 // put writes a key and reports whether the store has acknowledged that.
 func (s *store) put(key string, value any) bool {
 	data, err := json.Marshal(value)
@@ -108,6 +125,11 @@
 	if s.server == nil {
 		return false
 	}
+	if wait, ok := s.late[key]; ok {
+		delete(s.late, key)
+		time.AfterFunc(wait, func() { s.put(key, value) })
+		return false
+	}
 	s.revision++
 	v := item{Key: key, Value: base64.StdEncoding.EncodeToString(data), Rev: s.revision, CreateRev: s.revision}
 	if before, ok := s.items[key]; ok {
--- a/review/rig-3/system.go
+++ b/review/rig-3/system.go
@@ -148,7 +148,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer log.Close()
+	defer func() { _ = log.Close() }()
 	e := &instance{command: exec.Command(p.program, "entry", "--platform")}
 	e.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + p.folder, "DRAGONFLYDEAL_CONFIG=" + path}
 	e.command.Stdout, e.command.Stderr = log, log
