Let SIGHUP end no entry or slot at any time of its life

What callers saw: an entry that answers its last requests after SIGTERM gets SIGHUP, ends within a millisecond, and closes the connections of requests that targets still run (LOST).

Cause: the function that watches the settings file called signal.Stop when its context ended, which SIGTERM does, and so restored the default action of SIGHUP while the process still served. The product's own entries and slots never handled the signal.

Change: the commands entry and slot take the signal over as their first step and never give it back. The settings are watched until the process has ended, not until its stop begins. The product's processes log the signal, as their settings are read at the start only.

--- a/internal/operator/commands/platform.go
+++ b/internal/operator/commands/platform.go
@@ -8,10 +8,8 @@
 	"math/rand/v2"
 	"net/netip"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/base/boottime"
@@ -63,11 +61,17 @@
 	return true
 }
 
-// watch applies the settings again on SIGHUP and when the file changes, until the context ends.
-func (f *settingsFile) watch(ctx context.Context, apply func(*site.Settings) error) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+// runWatched runs a process, and applies the settings again on each hangup and when the file changes until the process ends. The end of
+// the context begins a stop, in which requests are still served by the settings.
+func (f *settingsFile) runWatched(ctx context.Context, hangups <-chan os.Signal, apply func(*site.Settings) error, run func(context.Context) error) error {
+	watched, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	go f.watch(watched, hangups, apply)
+	return run(ctx)
+}
+
+// watch applies the settings again on each hangup and when the file changes, until the context ends.
+func (f *settingsFile) watch(ctx context.Context, hangups <-chan os.Signal, apply func(*site.Settings) error) {
 	ticker := time.NewTicker(filePollInterval)
 	defer ticker.Stop()
 	for {
@@ -75,7 +79,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-hangups:
 			cause = "signal"
 			f.checkModified()
 		case <-ticker.C:
@@ -96,7 +100,7 @@
 }
 
 // runGateway runs an entry on the users' platform.
-func (c *entryCommand) runGateway(ctx context.Context, stdout io.Writer) error {
+func (c *entryCommand) runGateway(ctx context.Context, hangups <-chan os.Signal, stdout io.Writer) error {
 	w := logs.NewWriter(stdout)
 	defer w.Close()
 	file, s, err := c.openSettings(w)
@@ -118,12 +122,11 @@
 		},
 		Log: file.log, Random: newRandom(), Now: time.Now, Boot: boot,
 	})
-	go file.watch(ctx, p.Reload)
-	return p.Run(ctx)
+	return file.runWatched(ctx, hangups, p.Reload, p.Run)
 }
 
 // runSidecar runs a slot on the users' platform.
-func (c *slotCommand) runSidecar(ctx context.Context, stdout io.Writer) error {
+func (c *slotCommand) runSidecar(ctx context.Context, hangups <-chan os.Signal, stdout io.Writer) error {
 	w := logs.NewWriter(stdout)
 	defer w.Close()
 	file, s, err := c.openSettings(w)
@@ -140,6 +143,5 @@
 		TargetAddress: store.TargetAddress, Configuration: store.StaleConfiguration,
 		Log: file.log, Incarnation: rand.Uint64(), Now: time.Now,
 	})
-	go file.watch(ctx, p.Reload)
-	return p.Run(ctx)
+	return file.runWatched(ctx, hangups, p.Reload, p.Run)
 }
--- a/internal/operator/commands/processes.go
+++ b/internal/operator/commands/processes.go
@@ -5,6 +5,9 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/fleet/settings"
@@ -31,27 +34,46 @@
 }
 
 func (c *entryCommand) run(ctx context.Context, stdout, stderr io.Writer) error {
+	hangups := catchHangups()
 	if c.Platform {
-		return c.runGateway(ctx, stdout)
+		return c.runGateway(ctx, hangups, stdout)
 	}
 	options, err := c.options(stderr, settings.RoleEntry)
 	if err != nil {
 		return err
 	}
+	go logHangups(hangups, options.Log)
 	return entryd.New(entryd.Options{Options: options, Random: newRandom()}).Run(ctx)
 }
 
 func (c *slotCommand) run(ctx context.Context, stdout, stderr io.Writer) error {
+	hangups := catchHangups()
 	if c.Platform {
-		return c.runSidecar(ctx, stdout)
+		return c.runSidecar(ctx, hangups, stdout)
 	}
 	options, err := c.options(stderr, settings.RoleSlot)
 	if err != nil {
 		return err
 	}
+	go logHangups(hangups, options.Log)
 	return slotd.New(slotd.Options{Options: options, Random: newRandom()}).Run(ctx)
 }
 
+// catchHangups returns the SIGHUPs that the process receives from now on. The default action is never restored: it would end the process,
+// which still serves requests while it stops.
+func catchHangups() <-chan os.Signal {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
+// logHangups logs that the settings, which are read at the start, are not read again.
+func logHangups(hangups <-chan os.Signal, log *slog.Logger) {
+	for range hangups {
+		log.Warn("SIGHUP ignored, a change of the settings needs a restart")
+	}
+}
+
 // options reads the settings and creates the logger.
 func (a *processArgs) options(stderr io.Writer, role settings.Role) (o node.Options, err error) {
 	if a.Settings == "" {
