Tell a reset from the end of an answer while the request is being written

What callers saw: a target answers a long upload at once with a 200 that has no length, sends a part of its body and resets the connection while the upload is still being written. The caller gets that part as a complete answer (MIXED).

Cause: the kernel reports a reset once, to whichever system call comes first. While the request is being written that may be the write; the read after it returns 0, as at an orderly end, and the end of the connection is the end of an answer without a length. The HTTP transport does not pass the error of the write on to the reader of the answer.

Change: all HTTP clients of the system share one transport, which remembers the first error of a write. At the end of the input a reader waits for the write in progress and returns its error, unless that is EPIPE, which follows an orderly end. Errors of a write no longer close the connection before an answer that has arrived is read. Entries, slots, the clients of the store, of engines and of the configuration service, relays, status and trial use it.

--- a/internal/operator/commands/status.go
+++ b/internal/operator/commands/status.go
@@ -14,6 +14,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/dragonflydeal/dragonflydeal/internal/operator/audit"
+	"github.com/dragonflydeal/dragonflydeal/internal/wire/transport"
 )
 
 const (
@@ -112,7 +113,8 @@
 	if err != nil {
 		return err
 	}
-	response, err := http.DefaultClient.Do(request)
+	client := &http.Client{Transport: transport.New(&http.Transport{DisableKeepAlives: true})}
+	response, err := client.Do(request)
 	if err != nil {
 		return err
 	}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/request/suspect"
 	"github.com/dragonflydeal/dragonflydeal/internal/wire/datagram"
 	"github.com/dragonflydeal/dragonflydeal/internal/wire/link"
+	"github.com/dragonflydeal/dragonflydeal/internal/wire/transport"
 )
 
 const (
@@ -97,7 +98,7 @@
 	Options
 	metrics   *processMetrics
 	metricSet *metrics.Set
-	transport *http.Transport
+	transport *transport.Transport
 	memory    buffers
 	socket    *datagram.Socket
 	started   time.Time
--- a/internal/process/gateway/gateway_attempt.go
+++ b/internal/process/gateway/gateway_attempt.go
@@ -15,6 +15,7 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/edge/target"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/answer"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/suspect"
+	"github.com/dragonflydeal/dragonflydeal/internal/wire/transport"
 )
 
 const (
@@ -37,14 +38,14 @@
 
 // newTransport returns the HTTP transport to all targets. Each attempt uses a new connection, so that bytes of an earlier
 // answer cannot be mistaken for this one and no request is lost on an idle connection that the target closes.
-func newTransport(now func() time.Time) *http.Transport {
+func newTransport(now func() time.Time) *transport.Transport {
 	d := &net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
 	}
-	return &http.Transport{
-		DialContext: dialInTime(now, d.DialContext), DisableCompression: true, DisableKeepAlives: true, MaxResponseHeaderBytes: answer.MaxHeader,
-	}
+	return transport.New(&http.Transport{
+		DialContext: dialInTime(now, d.DialContext), DisableCompression: true, DisableKeepAlives: true,
+	})
 }
 
 // outcome is the result of an attempt.
--- a/internal/process/slotd/slotd_engine.go
+++ b/internal/process/slotd/slotd_engine.go
@@ -18,6 +18,7 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/core/slot"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/answer"
 	"github.com/dragonflydeal/dragonflydeal/internal/request/call"
+	"github.com/dragonflydeal/dragonflydeal/internal/wire/transport"
 )
 
 const (
@@ -171,11 +172,10 @@
 // newClient returns an HTTP client of the engine that follows no redirects.
 func newClient(keepAlive bool) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
-			MaxResponseHeaderBytes: answer.MaxHeader,
-			MaxIdleConnsPerHost:    maxEngineConns, IdleConnTimeout: engineIdleTimeout,
+		Transport: transport.New(&http.Transport{
+			MaxIdleConnsPerHost: maxEngineConns, IdleConnTimeout: engineIdleTimeout,
 			DisableKeepAlives: !keepAlive, DisableCompression: true,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/proof/edge/rig_test.go
+++ b/internal/proof/edge/rig_test.go
@@ -80,6 +80,8 @@
 	goalMs int
 	// slots is the number of requests that each target runs at once; zero for six.
 	slots int
+	// bodyLimit is the largest body of a request in bytes in the next configuration; zero for 1 MiB.
+	bodyLimit int
 	// edit changes the settings of an entry that is added; nil for none.
 	edit func(number int, s *site.Settings)
 	// engine describes the engines of a group in the next configuration; nil for a plain service. A cold engine sustains coldPerS
@@ -322,7 +324,7 @@
 		"version":  version,
 		"services": []any{map[string]any{"name": "holds", "engine": r.engine, "coldS": r.coldS, "coldPerS": r.coldPerS}},
 		"tenants":  []any{map[string]any{"name": testWorkspace, "apiKeys": []string{key}}},
-		"limits":   map[string]any{"maxBodyBytes": 1 << 20},
+		"limits":   map[string]any{"maxBodyBytes": cmp.Or(r.bodyLimit, 1<<20)},
 		"routes": []any{
 			route("once", "unsafe", 1, false), route("safe", "safe", 2, false),
 			route("stream", "stream", 2, true), route("fixed", "stream", 1, false), warmRoute,
--- a/internal/trial/site/caller.go
+++ b/internal/trial/site/caller.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"github.com/dragonflydeal/dragonflydeal/internal/request/answer"
+	"github.com/dragonflydeal/dragonflydeal/internal/wire/transport"
 )
 
 // maxEventBytes is the largest length of a line of an event stream.
@@ -53,7 +53,7 @@
 }
 
 func newCaller() *caller {
-	return &caller{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, MaxResponseHeaderBytes: answer.MaxHeader}}}
+	return &caller{client: &http.Client{Transport: transport.New(&http.Transport{MaxIdleConnsPerHost: maxIdleConns})}}
 }
 
 // maxIdleConns bounds the idle connections of the callers to one entry.
--- a/internal/trial/site/site.go
+++ b/internal/trial/site/site.go
@@ -24,6 +24,7 @@
 	"github.com/dragonflydeal/dragonflydeal/internal/trial/group"
 	"github.com/dragonflydeal/dragonflydeal/internal/trial/platform"
 	"github.com/dragonflydeal/dragonflydeal/internal/trial/service"
+	"github.com/dragonflydeal/dragonflydeal/internal/wire/transport"
 )
 
 // readyTimeout bounds the wait for a condition of the site, such as that all entries see all targets.
@@ -106,7 +107,7 @@
 	s = &Site{
 		options: o, network: NewNetwork(), platform: platform.New(), meter: newMeter(), group: newGroup(o),
 		engines: map[string]*engine.Engine{}, services: map[string]*service.Service{}, processes: map[string]*process{},
-		client: &http.Client{Timeout: time.Second},
+		client: &http.Client{Timeout: time.Second, Transport: transport.New(&http.Transport{})},
 	}
 	groupCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	s.stopGroup = stop
--- a/internal/wire/link/link.go
+++ b/internal/wire/link/link.go
@@ -14,7 +14,7 @@
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
 
-	"github.com/dragonflydeal/dragonflydeal/internal/request/answer"
+	"github.com/dragonflydeal/dragonflydeal/internal/wire/transport"
 )
 
 const (
@@ -129,9 +129,8 @@
 }
 
 // Transport returns an HTTP transport that dials like the pool and therefore sends from the instance's own address.
-func (p *Pool) Transport() *http.Transport {
-	return &http.Transport{
-		MaxResponseHeaderBytes: answer.MaxHeader,
+func (p *Pool) Transport() *transport.Transport {
+	return transport.New(&http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			a, err := netip.ParseAddrPort(address)
 			if err != nil {
@@ -141,7 +140,7 @@
 		},
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleTimeout,
-	}
+	})
 }
 
 // Dial opens a new connection. It joins the pool only by Put.
