Take an answer whose head has an invalid line for none

What callers saw: a target in trouble sends a head in which the name of a field holds a blank, such as 'Transfer-Encoding : chunked'. The caller gets a success whose body is not the target's: chunk sizes are part of it, or what follows its length (MIXED). The clients of the store and of engines take such an answer too.

Cause: the standard library accepts a name with a blank, under which neither length nor coding is found, and joins a line that begins with a blank to the one before it; it ignores the coding of an answer in HTTP/1.0.

Evidence: TestMalformedHeadsAreNoAnswers and TestMalformedHeadsOfThePlatform on: seven of fourteen heads reach callers on the plain path, the two tried there on all five others too, and watch, list, report, counts, order and health take six of them for an answer.

Change: the shared transport checks each line of each head as it arrives, by RFC 9112, with golang.org/x/net/http/httpguts. At the first invalid line the connection fails, so that nothing that the head says is used.

--- a/internal/proof/edge/endless_test.go
+++ b/internal/proof/edge/endless_test.go
@@ -136,38 +136,44 @@
 	is.True(sent.Load()/floods < floodBound)
 }
 
+// platformCalls are the calls of the clients of the store and of the engine next to a slot.
+var platformCalls = []struct {
+	name string
+	call func(ctx context.Context, address netip.AddrPort) error
+}{
+	{"configuration", func(ctx context.Context, a netip.AddrPort) error {
+		_, err := platform.NewStore(a).Configuration(ctx)
+		return err
+	}},
+	{"watch", func(ctx context.Context, a netip.AddrPort) error {
+		_, err := platform.NewStore(a).Changes(ctx, 1, time.Second)
+		return err
+	}},
+	{"list", func(ctx context.Context, a netip.AddrPort) error {
+		_, _, err := platform.NewStore(a).Targets(ctx)
+		return err
+	}},
+	{"report", func(ctx context.Context, a netip.AddrPort) error {
+		_, err := platform.NewEngine(a).Report(ctx)
+		return err
+	}},
+	{"counts", func(ctx context.Context, a netip.AddrPort) error {
+		_, err := platform.NewEngine(a).Counts(ctx)
+		return err
+	}},
+	{"order", func(ctx context.Context, a netip.AddrPort) error {
+		_, err := platform.NewEngine(a).Order(ctx, &hold.Order{Kind: hold.OrderRelease, Step: 1})
+		return err
+	}},
+	{"health", func(ctx context.Context, a netip.AddrPort) error {
+		_, err := platform.NewEngine(a).ID(ctx, "/health")
+		return err
+	}},
+}
+
 // TestEndlessAnswersOfThePlatform lets the store and the engine next to a slot send bytes without end.
 func TestEndlessAnswersOfThePlatform(t *testing.T) {
-	calls := []struct {
-		name string
-		call func(ctx context.Context, address netip.AddrPort) error
-	}{
-		{"configuration", func(ctx context.Context, a netip.AddrPort) error {
-			_, err := platform.NewStore(a).Configuration(ctx)
-			return err
-		}},
-		{"watch", func(ctx context.Context, a netip.AddrPort) error {
-			_, err := platform.NewStore(a).Changes(ctx, 1, time.Second)
-			return err
-		}},
-		{"list", func(ctx context.Context, a netip.AddrPort) error {
-			_, _, err := platform.NewStore(a).Targets(ctx)
-			return err
-		}},
-		{"report", func(ctx context.Context, a netip.AddrPort) error {
-			_, err := platform.NewEngine(a).Report(ctx)
-			return err
-		}},
-		{"counts", func(ctx context.Context, a netip.AddrPort) error {
-			_, err := platform.NewEngine(a).Counts(ctx)
-			return err
-		}},
-		{"order", func(ctx context.Context, a netip.AddrPort) error {
-			_, err := platform.NewEngine(a).Order(ctx, &hold.Order{Kind: hold.OrderRelease, Step: 1})
-			return err
-		}},
-	}
-	for _, c := range calls {
+	for _, c := range platformCalls {
 		for _, v := range endlessAnswers {
 			t.Run(c.name+"/"+v.name, func(t *testing.T) {
 				is := is.New(t)
--- a/internal/wire/transport/transport.go
+++ b/internal/wire/transport/transport.go
@@ -1,5 +1,5 @@
-// Package transport is the HTTP transport of all clients of the system. The servers may be in trouble: an answer is
-// complete only if its end has arrived.
+// Package transport is the HTTP transport of all clients of the system. The servers may be in trouble: what they send is an answer only if its
+// head is one, and it is complete only if its end has arrived.
 package transport
 
 import (
@@ -14,7 +14,8 @@
 // reads. A server in trouble may send bytes without end that are no answer, and the standard library reads 10 MiB of them.
 const MaxHeader = 64 << 10
 
-// Transport is an HTTP transport whose bodies end with io.EOF only if the server has ended them. It is safe for concurrent use.
+// Transport is an HTTP transport. An answer whose head is not valid by RFC 9112 is an error, and bodies end with io.EOF only if the server has
+// ended them. It is safe for concurrent use.
 type Transport struct {
 	*http.Transport
 }
@@ -30,7 +31,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: c}, nil
+		return newConn(c), nil
 	}
 	t.MaxResponseHeaderBytes = cmp.Or(t.MaxResponseHeaderBytes, MaxHeader)
 	return &Transport{t}
@@ -38,10 +39,17 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var used *conn
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
-			if c, ok := i.Conn.(*conn); ok {
-				c.beginRequest()
+			if used, _ = i.Conn.(*conn); used != nil {
+				used.beginRequest()
+			}
+		},
+		// The next answer on the connection is read after this.
+		PutIdleConn: func(err error) {
+			if used != nil && err == nil {
+				used.expectHead()
 			}
 		},
 	})
