Take an answer whose status line is invalid for none

A status of 000 did not reach callers here, as answers below 200 are withheld, but the health check that tells the identity of an engine took its head for one.

Cause: the standard library takes any three characters that strconv.Atoi reads as a number of zero or more for a status, so 000, 099, 600 and +20 too, and any pair of digits for a version.

Evidence: TestMalformedHeadsAreNoAnswers on: 600, 999, HTTP/2.0, HTTP/0.9 and a control byte in the status line reach the caller; TestMalformedHeadsOfThePlatform: health takes 000, 099, 600, 999 and +20.

Change: the shared transport takes a status line only if it names HTTP/1.0 or HTTP/1.1 and a status from 100 to 599; 101 is none either, as no client asks for another protocol.

--- a/internal/proof/edge/malformed_test.go
+++ b/internal/proof/edge/malformed_test.go
@@ -35,6 +35,17 @@
 	{"no colon", "HTTP/1.1 200 OK", "X-Name\r\nContent-Length: 4\r\n", "done", false},
 	{"coding in HTTP/1.0", "HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n", "4\r\ndone\r\n0\r\n\r\n", false},
 	{"blank in a name of an informational answer", "HTTP/1.1 103 Early Hints\r\nX Name: 1\r\n\r\nHTTP/1.1 200 OK", "Content-Length: 4\r\n", "done", false},
+	{"status 000", "HTTP/1.1 000 OK", "Content-Length: 4\r\n", "done", true},
+	{"status 099", "HTTP/1.1 099 OK", "Content-Length: 4\r\n", "done", false},
+	{"status 600", "HTTP/1.1 600 OK", "Content-Length: 4\r\n", "done", false},
+	{"status 999", "HTTP/1.1 999 OK", "Content-Length: 4\r\n", "done", false},
+	{"status with a sign", "HTTP/1.1 +20 OK", "Content-Length: 4\r\n", "done", false},
+	{"status with another digit", "HTTP/1.1 2000 OK", "Content-Length: 4\r\n", "done", false},
+	{"status of two digits", "HTTP/1.1 20 OK", "Content-Length: 4\r\n", "done", false},
+	{"informational status 000 first", "HTTP/1.1 000\r\n\r\nHTTP/1.1 200 OK", "Content-Length: 4\r\n", "done", false},
+	{"control byte in the status line", "HTTP/1.1 200 O\x01K", "Content-Length: 4\r\n", "done", false},
+	{"HTTP/2.0", "HTTP/2.0 200 OK", "Content-Length: 4\r\n", "done", true},
+	{"HTTP/0.9", "HTTP/0.9 200 OK", "Content-Length: 4\r\n", "done", false},
 }
 
 // TestMalformedHeadsAreNoAnswers has a target send heads that are none, on each path that an answer takes to its caller. It guards against a line
--- a/internal/wire/transport/head.go
+++ b/internal/wire/transport/head.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"regexp"
 	"strconv"
 	"strings"
 
@@ -10,6 +11,9 @@
 	"golang.org/x/net/http/httpguts"
 )
 
+// statusLine is the first line of an answer, with its version and status.
+var statusLine = regexp.MustCompile(`^HTTP/(1\.[01]) ([1-5][0-9]{2})(?: .*)?$`)
+
 // head checks the head of an answer, with the informational answers before it, line by line as it arrives. The standard library accepts some
 // lines that are not valid and then passes over the length or the coding that they name.
 type head struct {
@@ -48,16 +52,19 @@
 }
 
 // informational reports whether another answer follows.
-func (h *head) informational() bool {
-	return h.status >= http.StatusContinue && h.status < http.StatusOK && h.status != http.StatusSwitchingProtocols
-}
+func (h *head) informational() bool { return h.status < http.StatusOK }
 
-// readStatus reads the status line, which the standard library checks.
+// readStatus reads the status line.
 func (h *head) readStatus(line string) error {
-	version, status, _ := strings.Cut(line, " ")
-	h.version = strings.TrimPrefix(version, "HTTP/")
-	status, _, _ = strings.Cut(strings.TrimLeft(status, " "), " ")
-	h.status, _ = strconv.Atoi(status)
+	m := statusLine.FindStringSubmatch(line)
+	if m == nil || !httpguts.ValidHeaderFieldValue(line) {
+		return merry.Errorf("status line %q", line)
+	}
+	h.version = m[1]
+	h.status, _ = strconv.Atoi(m[2])
+	if h.status == http.StatusSwitchingProtocols {
+		return merry.Errorf("status line %q: no other protocol was asked for", line)
+	}
 	return nil
 }
 
