Read JSON answers to their end, and load reports only from a 200

What operators saw: nothing yet. A slot took the load that an engine's failure, such as a 503, has in its body for a report of an engine at work, and took the first JSON value of a body that was broken off after it; so did the clients of the group interface, the list of instances and status.

Cause: json.Decoder stops after one value, and readLoad did not look at the status.

Change: one function of the shared transport reads an answer to its end and decodes it; engine reports of the platform use it too.

--- a/internal/operator/commands/status.go
+++ b/internal/operator/commands/status.go
@@ -109,6 +109,11 @@
 
 // get sends a GET request to an operators' address and decodes the JSON answer.
 func get(ctx context.Context, address netip.AddrPort, path string, into any) (err error) {
+	defer func() {
+		if err != nil {
+			err = merry.Prependf(err, "GET %s", path)
+		}
+	}()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+path, nil)
 	if err != nil {
 		return err
@@ -119,10 +124,7 @@
 		return err
 	}
 	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return merry.Errorf("GET %s: status %d", path, response.StatusCode)
-	}
-	return json.NewDecoder(io.LimitReader(response.Body, maxStatusBytes)).Decode(into)
+	return transport.DecodeJSON(response, maxStatusBytes, into)
 }
 
 func (c *statusCommand) print(processes []processStatus, stdout io.Writer) error {
--- a/internal/process/node/node_instances.go
+++ b/internal/process/node/node_instances.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/dragonflydeal/dragonflydeal/internal/wire/transport"
 )
 
 const (
@@ -65,9 +65,5 @@
 		return nil, err
 	}
 	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return nil, merry.Errorf("unexpected status %d", response.StatusCode)
-	}
-	err = json.NewDecoder(io.LimitReader(response.Body, maxInstancesSize)).Decode(&list)
-	return list, err
+	return list, transport.DecodeJSON(response, maxInstancesSize, &list)
 }
--- a/internal/process/slotd/slotd_engine.go
+++ b/internal/process/slotd/slotd_engine.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -76,7 +75,7 @@
 	}
 	defer response.Body.Close()
 	var l loadReport
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxReportSize)).Decode(&l); err != nil {
+	if err := transport.DecodeJSON(response, maxReportSize, &l); err != nil {
 		return &slot.Report{}
 	}
 	r := &slot.Report{Alive: true, Running: l.Running, Prefixes: l.Prefixes}
--- a/internal/process/slotd/slotd_group.go
+++ b/internal/process/slotd/slotd_group.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -13,6 +12,7 @@
 
 	"github.com/dragonflydeal/dragonflydeal/internal/core/slot"
 	"github.com/dragonflydeal/dragonflydeal/internal/group/mapswitch"
+	"github.com/dragonflydeal/dragonflydeal/internal/wire/transport"
 )
 
 const (
@@ -108,9 +108,6 @@
 	if response.StatusCode == http.StatusNotFound {
 		return nil, errNoGroupInterface
 	}
-	if response.StatusCode != http.StatusOK {
-		return nil, merry.Errorf("unexpected status %d", response.StatusCode)
-	}
 	reply = &groupReply{}
-	return reply, json.NewDecoder(io.LimitReader(response.Body, maxGroupReplySize)).Decode(reply)
+	return reply, transport.DecodeJSON(response, maxGroupReplySize, reply)
 }
