Use a target that has left no more because of an old record

What callers saw: an engine reports that it drains; a write of its record from before is done late, or the store comes back from an older copy, and the record says ready again. Entries send it requests later than the drain time, which end with it (DRAIN).

Cause: an entry took 'leaving' back when a list had the same incarnation as ready.

Change: what the record of an incarnation has said stays with the incarnation, like what it says in its answers, and relays pass it on. The change 'kept' is gone.

--- a/internal/edge/target/rest.go
+++ b/internal/edge/target/rest.go
@@ -10,8 +10,8 @@
 
 // wish is what a target has said about the requests that it wants of this entry. It holds for the incarnation, whatever the store lists.
 type wish struct {
-	// saidLeaving is set if it takes no new requests any more.
-	saidLeaving bool
+	// saidLeaving is set if it has said in an answer that it takes no new requests any more, and listedLeaving if its record has said so.
+	saidLeaving, listedLeaving bool
 	// restsUntil is the time until which it wants none.
 	restsUntil time.Time
 }
@@ -34,11 +34,26 @@
 	}
 }
 
+// ListedLeaving reports whether the record of an incarnation has ever said that it leaves. A record that says later that it is ready is an
+// old one: its write was done late, or the store has come back from an older copy.
+func (r *Registry) ListedLeaving(hash uint32) bool {
+	return r.wishes[hash].listedLeaving
+}
+
+// noteListedLeaving records that the record of an incarnation says that it leaves.
+func (r *Registry) noteListedLeaving(now time.Time, m *Member) {
+	w := r.wishes[m.Hash]
+	if !w.listedLeaving {
+		w.listedLeaving = true
+		r.setWish(now, m, w)
+	}
+}
+
 func (r *Registry) setWish(now time.Time, m *Member, w wish) {
 	r.wishes[m.Hash] = w
 	for _, known := range []*Member{m, r.hashes[m.Hash]} {
 		if known != nil {
-			known.wish, known.Leaving = w, known.Leaving || w.saidLeaving
+			known.wish, known.Leaving = w, known.Leaving || w.saidLeaving || w.listedLeaving
 		}
 	}
 	if len(r.wishes) > maxWishes {
--- a/internal/edge/target/target.go
+++ b/internal/edge/target/target.go
@@ -46,8 +46,8 @@
 
 // Change is a change of a target in a new list.
 type Change struct {
-	// Event is joined, leaving, gone, kept if a leaving target stays after all, or moved if its record names another data centre or
-	// service. A target that restarts under the same ID is gone and joins.
+	// Event is joined, leaving, gone, or moved if its record names another data centre or service. A target that restarts under the same ID
+	// is gone and joins.
 	Event string
 	Member
 }
@@ -105,7 +105,7 @@
 			continue
 		}
 		listed[t.ID] = true
-		changes = append(changes, r.applyTarget(t)...)
+		changes = append(changes, r.applyTarget(now, t)...)
 		r.SetRank(r.members[t.ID], t.Group, t.Pace)
 		r.learnCold(now, &t, r.listed)
 	}
@@ -138,7 +138,7 @@
 	return latest
 }
 
-func (r *Registry) applyTarget(t site.Target) []Change {
+func (r *Registry) applyTarget(now time.Time, t site.Target) []Change {
 	m := r.members[t.ID]
 	switch {
 	case m == nil || m.StartUnixMilli != t.StartUnixMilli || m.Address != t.Address:
@@ -148,19 +148,22 @@
 		}
 		m = &Member{Target: t, Hash: Hash(&t)}
 		m.Others, m.wish = r.otherLoads[m.Hash], r.wishes[m.Hash]
-		m.Leaving = m.Leaving || m.saidLeaving
+		m.Leaving = m.Leaving || m.saidLeaving || m.listedLeaving
+		if t.Leaving {
+			r.noteListedLeaving(now, m)
+		}
 		m.evacuated = r.evacuated[m.Centre]
 		r.members[t.ID] = m
 		return append(changes, Change{Event: "joined", Member: *m})
 	case m.Centre != t.Centre || m.Service != t.Service:
 		r.relocate(m, t)
 		return []Change{{Event: "moved", Member: *m}}
-	case !m.Leaving && t.Leaving:
-		m.Leaving = true
-		return []Change{{Event: "leaving", Member: *m}}
-	case m.Leaving && !t.Leaving && !m.saidLeaving:
-		m.Leaving = false
-		return []Change{{Event: "kept", Member: *m}}
+	case t.Leaving && !m.listedLeaving:
+		said := m.Leaving
+		r.noteListedLeaving(now, m)
+		if !said {
+			return []Change{{Event: "leaving", Member: *m}}
+		}
 	}
 	return nil
 }
--- a/internal/process/gateway/gateway_group.go
+++ b/internal/process/gateway/gateway_group.go
@@ -113,7 +113,7 @@
 }
 
 // feedTargets passes on targets that were read from the store, with their groups and paces, and reports whether anything has
-// changed. While the table does not have a target, the last known ones apply; mu is held.
+// changed. One whose record has said before that it leaves is passed on as leaving. While the table does not have a target, the last known ones apply; mu is held.
 func (p *Process) feedTargets(now time.Time, targets map[string]site.Target) (changed bool) {
 	list := make(map[string]site.Target, len(targets))
 	for id, t := range targets {
@@ -122,7 +122,7 @@
 		if known := p.registry.ByHash(hash); v.Group == 0 && known != nil {
 			v.Group, v.Pace = known.Group, known.Pace
 		}
-		t.Group, t.Pace = v.Group, v.Pace
+		t.Group, t.Pace, t.Leaving = v.Group, v.Pace, t.Leaving || p.registry.ListedLeaving(hash)
 		list[id] = t
 	}
 	p.readTargets = list
