Show that an added entry runs a withdrawn key after a drill

Cause: an entry that starts takes what the store holds for the latest configuration, also after the store came back from an older copy.

--- a/review/rig-4/main.go
+++ b/review/rig-4/main.go
@@ -49,8 +49,8 @@
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	switch name {
-	case "idle":
-		return runIdle(s, trouble)
+	case "key":
+		return runKey(s, trouble)
 	case "map":
 		lag := defaultLag
 		if text := os.Getenv("LAG"); text != "" {
--- a/review/rig-4/mapcase.go
+++ b/review/rig-4/mapcase.go
@@ -10,6 +10,9 @@
 )
 
 const (
+	// maxFds and memoryMB are those of a small front machine.
+	maxFds   = 4100
+	memoryMB = 184
 	// mapLength is the time for which the group works.
 	mapLength = 100 * time.Second
 	// firstKill is the time before the first kill, and killPause that between two. In the latter the slot has run again for eight seconds.
@@ -58,10 +61,10 @@
 				"sets": sets, "experts": experts, "places": places, "spare": spare, "expertMb": 2200.0, "expertShare": 0.85, "form_ms": 600.0,
 			},
 		}},
-		"limits":  map[string]any{"headerBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": idleTimeoutMs},
+		"limits":  map[string]any{"headerBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []any{map[string]any{"name": "school", "apiKeys": []string{"key-1"}, "priority": 1}},
 	})
-	f, err := s.startFront("front-riga-a-1", hosts[0], low, high, memoryMB, maxFds)
+	f, err := s.startFront("front-riga-a-1", "riga-a", hosts[0], low, high, memoryMB, maxFds)
 	if err != nil {
 		return failed(err)
 	}
--- a/review/rig-4/site.go
+++ b/review/rig-4/site.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -9,7 +10,6 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -19,7 +19,7 @@
 	store   *store
 	address string
 	record  *recorder
-	// seed is the control address of the front machine.
+	// seed is the control address of the first front machine.
 	seed string
 
 	mu     sync.Mutex
@@ -118,6 +118,7 @@
 %[9]s
 [zones]
 riga-a = "lv-riga"
+riga-b = "lv-riga"
 [listen]
 %[10]s
 [limits]
@@ -177,7 +178,7 @@
 	if err != nil {
 		return err
 	}
-	defer log.Close()
+	defer func() { _ = log.Close() }()
 	c.Stdout, c.Stderr = log, log
 	if err := c.Start(); err != nil {
 		return err
@@ -206,7 +207,7 @@
 }
 
 // startFront adds a front machine and starts its entry.
-func (s *site) startFront(name, host string, low, high, memoryMB, descriptors int) (*front, error) {
+func (s *site) startFront(name, zone, host string, low, high, memoryMB, descriptors int) (*front, error) {
 	var ports [3]int
 	for i := range ports {
 		l, err := net.Listen("tcp4", host+":0")
@@ -218,12 +219,12 @@
 	}
 	f := &front{callers: fmt.Sprintf("%s:%d", host, ports[0]), ready: fmt.Sprintf("%s:%d", host, ports[1])}
 	control := fmt.Sprintf("%s:%d", host, ports[2])
+	s.seed = cmp.Or(s.seed, control)
 	var err error
 	f.process, err = s.add(machine{
-		name: name, role: "entry", host: host, zone: "riga-a", low: low, high: high, memoryMB: memoryMB, descriptors: descriptors, seed: control,
+		name: name, role: "entry", host: host, zone: zone, low: low, high: high, memoryMB: memoryMB, descriptors: descriptors, seed: s.seed,
 		extra: `serves = ["front","control"]`, listen: fmt.Sprintf("front = %q\nready = %q\ncontrol = %q", f.callers, f.ready, control),
 	})
-	s.seed = control
 	if err != nil {
 		return nil, err
 	}
@@ -239,28 +240,6 @@
 	}
 }
 
-// engine is a stand-in of a plain engine. It runs each request at once and answers it whole.
-type engine struct {
-	id   string
-	runs atomic.Int64
-}
-
-func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if id := r.Header.Get("Expect-Instance"); id != "" && id != e.id {
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	if r.URL.Path == "/health" {
-		w.Header().Set("Instance-Id", e.id)
-		return
-	}
-	n := e.runs.Add(1)
-	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
-	w.Header().Set("Engine-Seal", fmt.Sprintf("%s.%d", e.id, n))
-	w.Header().Set("Engine-Load", "0,0,6")
-	fmt.Fprintf(w, "released %s", r.Header.Get("Attempt-Id"))
-}
-
 // awaitReady waits until a front machine says that it is ready.
 func awaitReady(ctx context.Context, address string) bool {
 	for ctx.Err() == nil {
--- a/review/rig-4/store.go
+++ b/review/rig-4/store.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -20,17 +23,58 @@
 	Tombstone bool   `json:"tombstone,omitempty"`
 }
 
-// store is a stand-in of the platform's store. It answers at once, keeps its whole history and is linearizable.
+// store is a stand-in of the platform's store. It answers at once, keeps its whole history and is linearizable, but for a drill.
 type store struct {
 	mu      sync.Mutex
 	rev     int64
 	items   map[string]item
 	events  []item
 	changed chan struct{}
+	// era rises with each drill, and away is set while the store is away.
+	era  int
+	away bool
 }
 
 func newStore() *store {
-	return &store{items: map[string]item{}, changed: make(chan struct{})}
+	return &store{items: map[string]item{}, changed: make(chan struct{}), era: 1}
+}
+
+// contents are what a store holds at one time.
+type contents struct {
+	rev    int64
+	items  map[string]item
+	events []item
+}
+
+// save returns a copy of what the store holds.
+func (s *store) save() contents {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return contents{s.rev, maps.Clone(s.items), slices.Clone(s.events)}
+}
+
+// leave makes the store go away: its channels are reset until it returns.
+func (s *store) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// comeBack ends the time away, with what an earlier copy holds.
+func (s *store) comeBack(c contents) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev, s.items, s.events, s.away = c.rev, maps.Clone(c.items), slices.Clone(c.events), false
+	s.era++
+}
+
+// gone reports whether the store is away.
+func (s *store) gone() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.away
 }
 
 // put writes a value as JSON.
@@ -59,6 +103,13 @@
 }
 
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.gone() {
+		reset(w)
+		return
+	}
+	s.mu.Lock()
+	w.Header().Set("Store-Era", strconv.Itoa(s.era))
+	s.mu.Unlock()
 	q := r.URL.Query()
 	switch r.URL.Path {
 	case "/dragonflydeal/kv-key":
@@ -74,6 +125,14 @@
 	}
 }
 
+// reset resets the channel of a call.
+func reset(w http.ResponseWriter) {
+	if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+}
+
 func reply(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(value)
@@ -119,8 +178,16 @@
 				list = append(list, i)
 			}
 		}
-		rev, changed := s.rev, s.changed
+		rev, changed, away := s.rev, s.changed, s.away
 		s.mu.Unlock()
+		switch {
+		case away:
+			reset(w)
+			return
+		case after > rev:
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		if len(list) > 0 {
 			reply(w, map[string]any{"events": list, "asOf": rev})
 			return
